--- /dev/null
+++ b/Source/core/admission_queue.cc
@@ -0,0 +1,125 @@
+#include "core/admission_queue.h"
+
+#include <algorithm>
+
+namespace corianderplank {
+namespace {
+
+/// Virtual time that a class of weight 1 is charged for each start.
+constexpr std::uint64_t kStrideScale = 1 << 20;
+
+}  // namespace
+
+void admission_queue::Configure(const std::vector<traffic_class>& classes,
+                                std::uint32_t capacity,
+                                std::uint32_t slots) {
+  capacity_ = capacity;
+  // Shrinking would strand requests of a class that is gone.
+  queues_.resize(std::max({classes.size(), queues_.size(), std::size_t{1}}));
+  for (std::size_t index = 0; index < classes.size(); ++index) {
+    class_queue& queue = queues_[index];
+    queue.weight = std::max(1U, classes[index].weight);
+    queue.stride = kStrideScale / queue.weight;
+    queue.max_running =
+        std::max(1U, slots * classes[index].max_share_permille / 1000);
+  }
+}
+
+admission_queue::class_queue& admission_queue::QueueOf(
+    std::uint8_t traffic_class) {
+  const std::size_t index =
+      std::min<std::size_t>(traffic_class, queues_.size() - 1);
+  return queues_[index];
+}
+
+admission_queue::class_queue* admission_queue::LightestBelow(
+    std::uint32_t weight) {
+  class_queue* lightest = nullptr;
+  for (class_queue& queue : queues_) {
+    if (queue.waiting.empty() || queue.weight >= weight) {
+      continue;
+    }
+    if (lightest == nullptr || queue.weight < lightest->weight) {
+      lightest = &queue;
+    }
+  }
+  return lightest;
+}
+
+admission_result admission_queue::Push(std::uint8_t traffic_class,
+                                       const waiting_request& request) {
+  class_queue& queue = QueueOf(traffic_class);
+  admission_result result;
+  if (size_ >= capacity_) {
+    class_queue* victim = LightestBelow(queue.weight);
+    if (victim == nullptr) {
+      return result;
+    }
+    result.displaced = victim->waiting.back().handle;
+    victim->waiting.pop_back();
+    --size_;
+  }
+  if (queue.waiting.empty()) {
+    // An idle class gets no credit for the time when it had nothing to do.
+    queue.pass = std::max(queue.pass, virtual_time_);
+  }
+  queue.waiting.push_back(request);
+  ++size_;
+  result.accepted = true;
+  return result;
+}
+
+std::optional<request_handle> admission_queue::Pop(std::uint32_t free_slots) {
+  if (free_slots == 0) {
+    return std::nullopt;
+  }
+  class_queue* next = nullptr;
+  for (class_queue& queue : queues_) {
+    if (queue.waiting.empty() || queue.running >= queue.max_running) {
+      continue;
+    }
+    if (next == nullptr || queue.pass < next->pass) {
+      next = &queue;
+    }
+  }
+  if (next == nullptr) {
+    return std::nullopt;
+  }
+  const request_handle handle = next->waiting.front().handle;
+  next->waiting.pop_front();
+  --size_;
+  ++next->running;
+  virtual_time_ = next->pass;
+  next->pass += next->stride;
+  return handle;
+}
+
+std::vector<request_handle> admission_queue::TakeExpired(time_point now) {
+  std::vector<request_handle> expired;
+  for (class_queue& queue : queues_) {
+    std::erase_if(queue.waiting, [&](const waiting_request& item) {
+      const bool late = item.deadline <= now;
+      if (late) {
+        expired.push_back(item.handle);
+      }
+      return late;
+    });
+  }
+  size_ -= expired.size();
+  return expired;
+}
+
+void admission_queue::Remove(request_handle handle) {
+  for (class_queue& queue : queues_) {
+    size_ -= std::erase_if(queue.waiting, [&](const waiting_request& item) {
+      return item.handle == handle;
+    });
+  }
+}
+
+void admission_queue::OnFinished(std::uint8_t traffic_class) {
+  class_queue& queue = QueueOf(traffic_class);
+  queue.running -= std::min(queue.running, 1U);
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/agent_state.cc
@@ -0,0 +1,47 @@
+#include "core/agent_state.h"
+
+namespace corianderplank {
+
+agent_state::agent_state(const agent_identity& identity,
+                         agent_effects& effects,
+                         counters& counters)
+    : identity(identity),
+      effects(effects),
+      counted(counters),
+      tokens(identity.target,
+             identity.service,
+             identity.incarnation,
+             identity.secret) {}
+
+void agent_state::Send(const flow_record& flow,
+                       packet value,
+                       std::uint32_t tries) {
+  value.service = identity.service;
+  value.flow = flow.id;
+  value.token = TokenOf(flow);
+  envelope header = Header();
+  header.caller = flow.caller;
+  endpoint through = flow.entry;
+  if (tries > 0 && !entries.empty()) {
+    through = entries[(flow.id.value + tries) % entries.size()];
+  }
+  effects.SendToCaller(through, header, value);
+}
+
+envelope agent_state::Header() const {
+  envelope header;
+  header.kind = envelope_kind::to_caller;
+  header.service = identity.service;
+  header.revision = revision;
+  header.control_port = identity.control_port;
+  header.target = identity.target;
+  header.load_permille = load_permille;
+  header.serving = life.IsServing();
+  return header;
+}
+
+flow_token agent_state::TokenOf(const flow_record& flow) const {
+  return tokens.Issue(flow.id, flow.serial);
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/caller_flow.cc
@@ -0,0 +1,513 @@
+#include "core/caller_flow.h"
+
+#include <algorithm>
+
+namespace corianderplank {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFirstRepeat = 80ms;
+constexpr milliseconds kLongestRepeat = 800ms;
+/// Repeat of a request that the agent has confirmed.
+constexpr milliseconds kConfirmedRepeat = 500ms;
+/// Silence after which a flow looks for another target.
+constexpr auto kSilence = 1200ms;
+constexpr int kSilentSends = 4;
+/// How long the end of a cancelled request is waited for.
+constexpr auto kCancelGrace = 1500ms;
+/// How long a flow looks for a target.
+constexpr auto kOpenLimit = 30s;
+constexpr auto kPingPeriod = 8s;
+constexpr int kMaxTries = 6;
+
+milliseconds Backoff(int sends) {
+  const int doublings = std::clamp(sends - 1, 0, 4);
+  return std::min(kFirstRepeat * (1 << doublings), kLongestRepeat);
+}
+
+bool IsPlannedMove(result_code code) {
+  return code == result_code::draining || code == result_code::fenced;
+}
+
+}  // namespace
+
+caller_flow::caller_flow(service_id service,
+                         flow_id flow,
+                         caller_effects& effects,
+                         retry_budget& budget,
+                         counters& counters)
+    : service_(service),
+      flow_(flow),
+      effects_(effects),
+      budget_(budget),
+      counters_(counters) {}
+
+milliseconds caller_flow::Jitter(milliseconds base) {
+  const std::uint64_t draw = MixHash(flow_.value, ++jitter_draws_) % 512;
+  return base * static_cast<int>(768 + draw) / 1024;
+}
+
+packet caller_flow::Header(packet_kind kind) const {
+  packet value;
+  value.kind = kind;
+  value.service = service_;
+  value.flow = flow_;
+  value.token = token_;
+  value.attempt = attempt_;
+  value.oldest_sequence = OldestSequence();
+  return value;
+}
+
+std::uint32_t caller_flow::OldestSequence() const {
+  std::uint32_t oldest = next_sequence_;
+  for (const pending_request& request : pending_) {
+    if (request.token) {
+      oldest = std::min(oldest, request.sequence);
+    }
+  }
+  return oldest;
+}
+
+caller_flow::pending_list::iterator caller_flow::FindSequence(
+    std::uint32_t sequence) {
+  return std::find_if(pending_.begin(), pending_.end(),
+                      [sequence](const pending_request& request) {
+                        return request.token && request.sequence == sequence;
+                      });
+}
+
+void caller_flow::Submit(time_point now, request_spec spec) {
+  pending_request request;
+  request.submitted_at = now;
+  request.deadline = now + spec.timeout;
+  request.next_position = spec.position;
+  request.spec = std::move(spec);
+  pending_.push_back(std::move(request));
+  budget_.OnFirstTry();
+  if (state_ == caller_state::open) {
+    SendUnsent(now);
+  } else if (state_ == caller_state::opening && open_sends_ == 0) {
+    opening_since_ = now;
+    SendOpen(now);
+  }
+}
+
+void caller_flow::SendOpen(time_point now) {
+  ++attempt_;
+  if (++open_sends_ > 1) {
+    counters_.Add(result_code::open_repeated);
+  }
+  packet open = Header(packet_kind::open);
+  open.sequence = next_sequence_;
+  next_open_ = now + Jitter(Backoff(open_sends_));
+  effects_.Send(open);
+}
+
+void caller_flow::SendUnsent(time_point now) {
+  for (pending_request& request : pending_) {
+    if (request.token || request.next_send > now) {
+      continue;
+    }
+    if (next_sequence_ - OldestSequence() >= kWindowSize) {
+      return;
+    }
+    request.sequence = next_sequence_++;
+    request.token = token_;
+    request.sends = 0;
+    ++request.tries;
+    request.has_progress = false;
+    request.heard_at = now;
+    SendRequest(now, request);
+  }
+}
+
+void caller_flow::SendRequest(time_point now, pending_request& request) {
+  if (++request.sends > 1) {
+    counters_.Add(result_code::request_repeated);
+  }
+  const milliseconds repeat =
+      request.has_progress ? kConfirmedRepeat : Backoff(request.sends);
+  request.next_send = now + Jitter(repeat);
+  packet value =
+      Header(request.cancelling ? packet_kind::cancel : packet_kind::request);
+  value.token = request.token;
+  value.sequence = request.sequence;
+  value.request_id = request.spec.request_id;
+  value.work = request.spec.work;
+  value.traffic_class = request.spec.traffic_class;
+  value.idempotent = request.spec.idempotent;
+  value.position = request.next_position;
+  const std::uint64_t received = request.next_position - request.spec.position;
+  value.count = request.spec.count == 0
+                    ? 0
+                    : request.spec.count - static_cast<std::uint32_t>(received);
+  if (!request.cancelling) {
+    value.time =
+        std::max(1ms, std::chrono::ceil<milliseconds>(request.deadline - now));
+    value.payload = request.spec.payload;
+  }
+  effects_.Send(value);
+}
+
+void caller_flow::SendAcknowledge(const pending_request& request) {
+  packet value = Header(packet_kind::acknowledge);
+  value.token = request.token;
+  value.sequence = request.sequence;
+  value.fragment = request.assembly.NextExpected();
+  value.selective = request.assembly.Selective();
+  effects_.Send(value);
+}
+
+void caller_flow::OnPacket(time_point now, const packet& value) {
+  if (state_ == caller_state::closed) {
+    if (value.kind != packet_kind::refused && value.token) {
+      packet close = Header(packet_kind::close);
+      close.token = value.token;
+      effects_.Send(close);
+    }
+    return;
+  }
+  const bool from_owner = value.token && token_ && *value.token == *token_;
+  if (from_owner) {
+    heard_at_ = now;
+  }
+  switch (value.kind) {
+    case packet_kind::opened:
+      OnOpened(now, value);
+      return;
+    case packet_kind::progress: {
+      const auto request = FindSequence(value.sequence);
+      if (request != pending_.end()) {
+        request->heard_at = now;
+        request->has_progress = true;
+        request->sends = 1;
+      }
+      return;
+    }
+    case packet_kind::answer:
+      OnAnswer(now, value);
+      return;
+    case packet_kind::refused:
+      OnRefused(now, value);
+      return;
+    case packet_kind::move:
+      if (from_owner && state_ == caller_state::open) {
+        StartResume(now, result_code::resumed_for_drain);
+      }
+      return;
+    default:
+      return;
+  }
+}
+
+void caller_flow::OnOpened(time_point now, const packet& value) {
+  const bool waiting =
+      state_ == caller_state::opening || state_ == caller_state::resuming;
+  if (!waiting || !value.token || state_ == caller_state::broken) {
+    return;
+  }
+  const std::optional<flow_token> old = token_;
+  token_ = value.token;
+  state_ = caller_state::open;
+  open_sends_ = 0;
+  open_refusal_ = result_code::open_timeout;
+  heard_at_ = now;
+  next_ping_ = now + kPingPeriod;
+  if (old && *old != *token_) {
+    MoveToToken(now, value, *old);
+  }
+  if (state_ == caller_state::open) {
+    SendUnsent(now);
+  }
+}
+
+void caller_flow::MoveToToken(time_point now,
+                              const packet& value,
+                              flow_token old) {
+  for (auto request = pending_.begin(); request != pending_.end();) {
+    const auto current = request++;
+    if (!current->token || *current->token != old || current->cancelling) {
+      continue;
+    }
+    const std::uint32_t offset = current->sequence - value.oldest_sequence;
+    const bool told = value.fenced && offset < kWindowSize;
+    const bool started = !told || ((value.selective >> offset) & 1) != 0;
+    const bool is_feed = current->spec.work == work_kind::feed;
+    current->in_doubt |= started && !value.fenced && !is_feed;
+    if (is_feed || !started) {
+      Renew(now, *current);
+    } else if (value.fenced) {
+      current->next_send = now;  // Its answer still comes from the old agent.
+    } else if (current->spec.idempotent ||
+               current->spec.work == work_kind::upload) {
+      Renew(now, *current);
+    } else {
+      Finish(now, current, result_code::target_lost);
+      if (state_ == caller_state::closed) {
+        return;
+      }
+    }
+  }
+}
+
+void caller_flow::Renew(time_point now, pending_request& request) {
+  request.token.reset();
+  request.sends = 0;
+  request.next_send = now;
+  request.assembly = answer_assembly();
+  request.answer.clear();
+}
+
+void caller_flow::OnAnswer(time_point now, const packet& value) {
+  const auto request = FindSequence(value.sequence);
+  if (request == pending_.end()) {
+    packet done = Header(packet_kind::acknowledge);
+    done.token = value.token;
+    done.sequence = value.sequence;
+    done.fragment = value.fragment + 1;
+    effects_.Send(done);
+    return;
+  }
+  if (!value.token || *value.token != *request->token) {
+    return;
+  }
+  request->heard_at = now;
+  request->has_progress = true;
+  request->sends = 1;
+  request->next_send = now + kConfirmedRepeat;
+  const std::vector<std::string> ready =
+      request->assembly.Add(value.fragment, value.last, value.payload);
+  const bool is_feed = request->spec.work == work_kind::feed;
+  for (const std::string& part : ready) {
+    if (is_feed) {
+      effects_.OnFeedMessage(request->spec.request_id, request->next_position++,
+                             part);
+    } else {
+      request->answer += part;
+    }
+  }
+  SendAcknowledge(*request);
+  if (request->assembly.IsComplete()) {
+    Finish(now, request, result_code::answered);
+  }
+}
+
+void caller_flow::OnRefused(time_point now, const packet& value) {
+  if (value.code == result_code::flow_gone) {
+    if (token_ && token_->serial == value.position &&
+        state_ == caller_state::open) {
+      StartResume(now, result_code::resumed_for_silence);
+    }
+    return;
+  }
+  if (!value.token) {
+    OnOpenRefused(now, value);
+    return;
+  }
+  const auto request = FindSequence(value.sequence);
+  if (request != pending_.end() && *request->token == *value.token) {
+    OnRequestRefused(now, request, value);
+  }
+}
+
+void caller_flow::OnOpenRefused(time_point now, const packet& value) {
+  const bool waiting =
+      state_ == caller_state::opening || state_ == caller_state::resuming;
+  if (!waiting || value.attempt != attempt_) {
+    return;
+  }
+  open_refusal_ = value.code;
+  next_open_ = now + Jitter(value.time);
+}
+
+bool caller_flow::MayRetry(time_point now,
+                           const pending_request& request) const {
+  return !request.cancelling && request.tries < kMaxTries &&
+         request.deadline > now;
+}
+
+void caller_flow::OnRequestRefused(time_point now,
+                                   pending_list::iterator request,
+                                   const packet& value) {
+  const outcome_kind outcome = OutcomeOf(value.code);
+  const bool repeatable = outcome == outcome_kind::not_run ||
+                          request->spec.idempotent ||
+                          request->spec.work != work_kind::request;
+  request->in_doubt |= outcome != outcome_kind::not_run;
+  const bool final_code = value.code == result_code::cancelled ||
+                          value.code == result_code::deadline_passed;
+  if (!repeatable || final_code || !MayRetry(now, *request)) {
+    Finish(now, request, value.code);
+    return;
+  }
+  const flow_token refused_by = *request->token;
+  if (IsPlannedMove(value.code)) {
+    --request->tries;
+  } else {
+    if (!budget_.TakeRetry()) {
+      Finish(now, request,
+             outcome == outcome_kind::not_run ? result_code::retry_budget_spent
+                                              : value.code);
+      return;
+    }
+    counters_.Add(result_code::retried_after_refusal);
+  }
+  Renew(now, *request);
+  if (!IsPlannedMove(value.code)) {
+    request->next_send = now + Jitter(value.time);
+  }
+  if (state_ == caller_state::open && token_ && *token_ == refused_by) {
+    StartResume(now, IsPlannedMove(value.code)
+                         ? result_code::resumed_for_drain
+                         : result_code::retried_after_refusal);
+  }
+}
+
+void caller_flow::StartResume(time_point now, result_code reason) {
+  if (reason != result_code::retried_after_refusal) {
+    counters_.Add(reason);
+  }
+  state_ = caller_state::resuming;
+  opening_since_ = now;
+  open_sends_ = 0;
+  SendOpen(now);
+}
+
+void caller_flow::Tick(time_point now) {
+  if (state_ == caller_state::closed || state_ == caller_state::broken) {
+    return;
+  }
+  if (state_ != caller_state::open) {
+    TickOpening(now);
+  }
+  bool silent = false;
+  for (auto request = pending_.begin(); request != pending_.end();) {
+    const auto current = request++;
+    silent = silent || IsSilent(now, *current);
+    if (now >= current->deadline) {
+      TickDeadline(now, current);
+    } else {
+      TickRequest(now, current);
+    }
+    if (state_ == caller_state::closed) {
+      return;
+    }
+  }
+  if (state_ != caller_state::open) {
+    return;
+  }
+  if (silent) {
+    StartResume(now, result_code::resumed_for_silence);
+    return;
+  }
+  SendUnsent(now);
+  if (now >= next_ping_) {
+    next_ping_ = now + kPingPeriod;
+    effects_.Send(Header(packet_kind::ping));
+  }
+}
+
+bool caller_flow::IsSilent(time_point now,
+                           const pending_request& request) const {
+  return request.token && token_ && *request.token == *token_ &&
+         request.sends >= kSilentSends && now - request.heard_at >= kSilence &&
+         now - heard_at_ >= kSilence;
+}
+
+void caller_flow::TickOpening(time_point now) {
+  if (open_sends_ == 0) {
+    return;
+  }
+  if (now - opening_since_ >= kOpenLimit) {
+    GiveUp(now);
+    return;
+  }
+  if (now >= next_open_) {
+    SendOpen(now);
+  }
+}
+
+void caller_flow::TickRequest(time_point now, pending_list::iterator request) {
+  if (!request->token || now < request->next_send) {
+    return;
+  }
+  const bool elsewhere = !token_ || *request->token != *token_;
+  const bool repeatable =
+      request->spec.idempotent || request->spec.work != work_kind::request;
+  if (elsewhere && repeatable && now - request->heard_at >= kSilence) {
+    request->in_doubt = true;
+    Renew(now, *request);
+    return;
+  }
+  SendRequest(now, *request);
+}
+
+void caller_flow::TickDeadline(time_point now, pending_list::iterator request) {
+  if (!request->token) {
+    const bool refused = state_ != caller_state::open;
+    Finish(now, request,
+           refused ? open_refusal_ : result_code::deadline_passed);
+    return;
+  }
+  if (!request->cancelling) {
+    request->cancelling = true;
+    request->sends = 0;
+    request->has_progress = false;
+    request->give_up_at = now + kCancelGrace;
+    SendRequest(now, *request);
+    return;
+  }
+  if (now >= request->give_up_at) {
+    Finish(now, request, result_code::answer_timeout);
+  } else if (now >= request->next_send) {
+    SendRequest(now, *request);
+  }
+}
+
+void caller_flow::GiveUp(time_point now) {
+  const bool was_open = token_.has_value();
+  const result_code refusal = open_refusal_;
+  state_ = caller_state::broken;
+  pending_list given_up;
+  given_up.swap(pending_);
+  while (!given_up.empty()) {
+    pending_.splice(pending_.begin(), given_up, given_up.begin());
+    const auto request = pending_.begin();
+    Finish(now, request, request->token ? result_code::target_lost : refusal);
+  }
+  if (was_open) {
+    effects_.OnBroken(result_code::resume_failed);
+  }
+}
+
+void caller_flow::Finish(time_point now,
+                         pending_list::iterator request,
+                         result_code code) {
+  if (request->in_doubt && OutcomeOf(code) == outcome_kind::not_run) {
+    code = result_code::backend_lost;
+  }
+  request_outcome outcome;
+  outcome.request_id = request->spec.request_id;
+  outcome.outcome = OutcomeOf(code);
+  outcome.code = code;
+  outcome.answer = std::move(request->answer);
+  outcome.latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      now - request->submitted_at);
+  outcome.target = request->token ? request->token->target : target_id{};
+  pending_.erase(request);
+  effects_.OnOutcome(outcome);
+}
+
+void caller_flow::Close() {
+  if (state_ == caller_state::closed) {
+    return;
+  }
+  if (token_) {
+    effects_.Send(Header(packet_kind::close));
+  }
+  state_ = caller_state::closed;
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/entry.cc
@@ -0,0 +1,117 @@
+#include "core/entry.h"
+
+namespace corianderplank {
+namespace {
+
+/// Time after which a caller may try again when no target takes opens.
+constexpr std::chrono::milliseconds kNoTargetRetryAfter{500};
+
+}  // namespace
+
+entry::entry(const endpoint& self,
+             std::uint16_t control_port,
+             entry_effects& effects,
+             const flow_locator& locator,
+             target_picker& picker,
+             counters& counters)
+    : self_(self),
+      control_port_(control_port),
+      effects_(effects),
+      locator_(locator),
+      picker_(picker),
+      counters_(counters) {}
+
+void entry::UseTable(std::shared_ptr<const routing_table> table) {
+  table_ = std::move(table);
+}
+
+void entry::OnCallerPacket(time_point now,
+                           service_id service,
+                           const endpoint& caller,
+                           const packet& value,
+                           std::string_view datagram) {
+  const service_routes* routes =
+      table_ == nullptr ? nullptr : table_->Find(service);
+  if (routes == nullptr) {
+    counters_.Add(result_code::unknown_service);
+    return;
+  }
+  if (value.service != service) {
+    counters_.Add(result_code::wrong_service);
+    return;
+  }
+  if (value.kind == packet_kind::open) {
+    PlaceOpen(now, *routes, caller, value, datagram);
+    return;
+  }
+  const located_target located = locator_.Locate(*routes, value);
+  if (located.target == nullptr) {
+    counters_.Add(located.code);
+    return;
+  }
+  Forward(*located.target, service, caller, datagram);
+}
+
+void entry::PlaceOpen(time_point now,
+                      const service_routes& routes,
+                      const endpoint& caller,
+                      const packet& value,
+                      std::string_view datagram) {
+  const std::uint64_t hash = MixHash(value.flow.value, value.attempt);
+  const target_id avoid = value.token ? value.token->target : target_id{};
+  const route_target* chosen = picker_.Pick(now, routes, hash, avoid);
+  if (chosen != nullptr) {
+    Forward(*chosen, routes.Id(), caller, datagram);
+    return;
+  }
+  counters_.Add(result_code::no_target);
+  packet refusal;
+  refusal.kind = packet_kind::refused;
+  refusal.service = routes.Id();
+  refusal.flow = value.flow;
+  refusal.attempt = value.attempt;
+  refusal.code = result_code::no_target;
+  refusal.time = kNoTargetRetryAfter;
+  effects_.RefuseToCaller(routes.Id(), caller, refusal, datagram.size());
+}
+
+void entry::Forward(const route_target& target,
+                    service_id service,
+                    const endpoint& caller,
+                    std::string_view datagram) {
+  envelope wrapped;
+  wrapped.kind = envelope_kind::to_agent;
+  wrapped.service = service;
+  wrapped.caller = caller;
+  wrapped.entry = self_;
+  wrapped.revision = table_->Revision();
+  wrapped.control_port = control_port_;
+  wrapped.target = target.id;
+  wrapped.inner = datagram;
+  effects_.SendToAgent(target.agent, wrapped);
+}
+
+void entry::OnAgentEnvelope(time_point now,
+                            const endpoint& from,
+                            const envelope& value) {
+  const service_routes* routes =
+      table_ == nullptr ? nullptr : table_->Find(value.service);
+  if (routes == nullptr) {
+    counters_.Add(result_code::unknown_service);
+    return;
+  }
+  const route_target* known = routes->Find(value.target);
+  if (known == nullptr || known->agent != from) {
+    counters_.Add(result_code::unknown_target);
+    return;
+  }
+  picker_.OnLoad(now, value.target, value.load_permille, value.serving);
+  if (value.revision > table_->Revision() && value.control_port != 0) {
+    effects_.FetchDocumentFrom({from.address, value.control_port});
+  }
+  if (value.kind == envelope_kind::to_caller) {
+    effects_.SendToCaller(value.service, value.caller, value.inner);
+  }
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/entry.h
@@ -0,0 +1,106 @@
+/// @file
+/// The decisions of an entry: which agent gets a packet, which caller an
+/// answer.
+#pragma once
+
+#include <memory>
+
+#include "core/counters.h"
+#include "core/flow_locator.h"
+#include "core/packet.h"
+#include "core/target_picker.h"
+
+namespace corianderplank {
+
+/// What an entry asks of its surroundings.
+class entry_effects {
+ public:
+  virtual ~entry_effects() = default;
+
+  /// @param agent where to send.
+  /// @param value the envelope with the caller's packet inside.
+  virtual void SendToAgent(const endpoint& agent, const envelope& value) = 0;
+
+  /// @param service the service from whose address to send.
+  /// @param caller where to send.
+  /// @param datagram an encoded packet.
+  virtual void SendToCaller(service_id service,
+                            const endpoint& caller,
+                            std::string_view datagram) = 0;
+
+  /// @param service the service from whose address to send.
+  /// @param caller where to send.
+  /// @param value a refusal.
+  /// @param request_bytes size of the datagram that it answers; the refusal
+  ///     is dropped when it is larger.
+  virtual void RefuseToCaller(service_id service,
+                              const endpoint& caller,
+                              const packet& value,
+                              std::size_t request_bytes) = 0;
+
+  /// A peer has a newer document than this process.
+  /// @param peer control endpoint of the peer.
+  virtual void FetchDocumentFrom(const endpoint& peer) = 0;
+};
+
+/// An entry. Keeps no state for each flow.
+class entry {
+ public:
+  /// @param self where agents send packets for callers.
+  /// @param control_port port from which peers fetch the document.
+  /// @param effects receives what the entry decides.
+  /// @param locator finds the owner of a flow.
+  /// @param picker places new flows.
+  /// @param counters counts refusals and drops.
+  entry(const endpoint& self,
+        std::uint16_t control_port,
+        entry_effects& effects,
+        const flow_locator& locator,
+        target_picker& picker,
+        counters& counters);
+
+  /// Uses a new table from now on.
+  /// @param table the table; shared with the thread that built it.
+  void UseTable(std::shared_ptr<const routing_table> table);
+
+  /// Handles a datagram from a caller.
+  /// @param now the present time.
+  /// @param service the service at whose address the datagram arrived.
+  /// @param caller who sent it.
+  /// @param value the decoded packet.
+  /// @param datagram the packet's bytes.
+  void OnCallerPacket(time_point now,
+                      service_id service,
+                      const endpoint& caller,
+                      const packet& value,
+                      std::string_view datagram);
+
+  /// Handles an envelope from an agent.
+  /// @param now the present time.
+  /// @param from the agent's endpoint.
+  /// @param value the decoded envelope.
+  void OnAgentEnvelope(time_point now,
+                       const endpoint& from,
+                       const envelope& value);
+
+ private:
+  void Forward(const route_target& target,
+               service_id service,
+               const endpoint& caller,
+               std::string_view datagram);
+  void PlaceOpen(time_point now,
+                 const service_routes& routes,
+                 const endpoint& caller,
+                 const packet& value,
+                 std::string_view datagram);
+
+  endpoint self_;
+  std::uint16_t control_port_;
+  entry_effects& effects_;
+  const flow_locator& locator_;
+  target_picker& picker_;
+  counters& counters_;
+  std::shared_ptr<const routing_table> table_;
+};
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/open_processor.cc
@@ -0,0 +1,218 @@
+#include "core/open_processor.h"
+
+#include <algorithm>
+
+namespace corianderplank {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long the old agent's promise is waited for.
+constexpr auto kFenceTimeout = 400ms;
+/// Wait that the refusal of an open suggests to the caller.
+constexpr std::chrono::milliseconds kOpenRetryAfter = 200ms;
+constexpr std::size_t kMaxPendingResumes = 10000;
+
+}  // namespace
+
+void open_processor::OnOpen(time_point now,
+                            const envelope& header,
+                            const packet& value) {
+  flow_record* known = state_.flows.Find(value.flow);
+  if (known != nullptr && known->state != flow_state::fenced) {
+    known->caller = header.caller;
+    known->entry = header.entry;
+    known->heard_at = state_.lease_now;
+    SendOpened(*known, value.attempt);
+    return;
+  }
+  if (PassOn(now, header, value)) {
+    return;
+  }
+  if (!state_.life.IsServing()) {
+    RefuseOpen(header, value, result_code::draining);
+    return;
+  }
+  if (known != nullptr) {
+    // The flow left this agent and its last answers are still kept here.
+    RefuseOpen(header, value, result_code::no_target);
+    return;
+  }
+  if (state_.flows.Size() >= state_.settings.connections) {
+    RefuseOpen(header, value, result_code::connection_limit);
+    return;
+  }
+  if (value.token) {
+    Resume(now, header, value);
+    return;
+  }
+  Accept(now, header, value, {});
+}
+
+bool open_processor::PassOn(time_point now,
+                            const envelope& header,
+                            const packet& value) {
+  const auto free_place =
+      std::find(header.visited.begin(), header.visited.end(), target_id{});
+  if (free_place == header.visited.end()) {
+    return false;
+  }
+  const flow_record* known = state_.flows.Find(value.flow);
+  const bool must_leave = !state_.life.IsServing() || known != nullptr ||
+                          state_.flows.Size() >= state_.settings.connections;
+  requests_.UpdateLoad(now);
+  const std::uint32_t with_open =
+      state_.load_permille + 1000 / std::max(1U, state_.settings.slots);
+  std::array<target_id, 3> excluded{header.visited[0], header.visited[1],
+                                    target_id{}};
+  if (value.token) {
+    excluded[2] = value.token->target;
+  }
+  sibling* better =
+      state_.siblings.Better(now, with_open, must_leave, excluded);
+  if (better == nullptr) {
+    return false;
+  }
+  envelope passed = header;
+  passed.revision = state_.revision;
+  passed.control_port = state_.identity.control_port;
+  passed.visited[free_place - header.visited.begin()] = state_.identity.target;
+  passed.target = better->id;
+  state_.counted.Add(must_leave ? result_code::redirected_for_drain
+                                : result_code::redirected_for_load);
+  state_.effects.SendEnvelope(better->agent, passed);
+  // The entry must not take the silence of this agent for a failure.
+  envelope notice = state_.Header();
+  notice.kind = envelope_kind::load_report;
+  state_.effects.SendEnvelope(header.entry, notice);
+  return true;
+}
+
+void open_processor::Resume(time_point now,
+                            const envelope& header,
+                            const packet& value) {
+  if (pending_.contains(value.flow)) {
+    return;
+  }
+  const sibling* old = state_.siblings.Find(value.token->target);
+  if (old == nullptr || pending_.size() >= kMaxPendingResumes) {
+    // The old agent was this target's earlier process, or is out of reach.
+    Accept(now, header, value, {});
+    return;
+  }
+  pending_resume& waiting = pending_[value.flow];
+  waiting.id = next_resume_id_++;
+  waiting.give_up_at = now + kFenceTimeout;
+  waiting.header = header;
+  waiting.header.inner = {};
+  waiting.open = value;
+  waiting.open.payload = {};
+  fence_request request;
+  request.flow = value.flow;
+  request.token = *value.token;
+  request.oldest_sequence = value.oldest_sequence;
+  state_.effects.RequestFence(waiting.id, old->control, request);
+}
+
+void open_processor::OnFenceReply(time_point now,
+                                  std::uint64_t resume_id,
+                                  const fence_reply& reply) {
+  const auto found = std::find_if(
+      pending_.begin(), pending_.end(),
+      [&](const auto& item) { return item.second.id == resume_id; });
+  if (found == pending_.end()) {
+    return;
+  }
+  const pending_resume resumed = found->second;
+  pending_.erase(found);
+  Accept(now, resumed.header, resumed.open, reply);
+}
+
+void open_processor::Tick(time_point now) {
+  std::vector<pending_resume> late;
+  std::erase_if(pending_, [&](const auto& item) {
+    const bool expired = item.second.give_up_at <= now;
+    if (expired) {
+      late.push_back(item.second);
+    }
+    return expired;
+  });
+  for (const pending_resume& resumed : late) {
+    Accept(now, resumed.header, resumed.open, {});
+  }
+}
+
+void open_processor::Accept(time_point now,
+                            const envelope& header,
+                            const packet& value,
+                            const fence_reply& fence) {
+  if (!state_.life.IsServing()) {
+    RefuseOpen(header, value, result_code::draining);
+    return;
+  }
+  flow_record& flow = state_.flows.Insert(value.flow);
+  flow.caller = header.caller;
+  flow.entry = header.entry;
+  flow.heard_at = state_.lease_now;
+  flow.base = value.sequence;
+  flow.resume_fenced = fence.found;
+  flow.resume_started = fence.started;
+  flow.resume_oldest = value.oldest_sequence;
+  ++state_.reserved;
+  requests_.UpdateLoad(now);
+  if (value.token) {
+    const result_code reason = fence.found ? result_code::resumed_for_drain
+                                           : result_code::resumed_for_silence;
+    state_.counted.Add(reason);
+    state_.effects.RecordEvent({flow.id, 0, reason});
+  }
+  SendOpened(flow, value.attempt);
+}
+
+void open_processor::SendOpened(const flow_record& flow,
+                                std::uint16_t attempt) {
+  packet opened;
+  opened.kind = packet_kind::opened;
+  opened.attempt = attempt;
+  opened.fenced = flow.resume_fenced;
+  opened.selective = flow.resume_started;
+  opened.oldest_sequence = flow.resume_oldest;
+  opened.sequence = flow.base;
+  state_.Send(flow, opened, 0);
+}
+
+void open_processor::RefuseOpen(const envelope& header,
+                                const packet& value,
+                                result_code code) {
+  state_.counted.Add(code);
+  state_.effects.RecordEvent({value.flow, 0, code});
+  packet refusal;
+  refusal.kind = packet_kind::refused;
+  refusal.service = state_.identity.service;
+  refusal.flow = value.flow;
+  refusal.attempt = value.attempt;
+  refusal.code = code;
+  refusal.time = kOpenRetryAfter;
+  envelope reply = state_.Header();
+  reply.caller = header.caller;
+  state_.effects.SendToCaller(header.entry, reply, refusal);
+}
+
+fence_reply open_processor::OnFenceRequest(const fence_request& request) {
+  fence_reply reply;
+  const result_code checked = state_.tokens.Check(request.flow, request.token);
+  if (checked != result_code::answered) {
+    state_.counted.Add(checked);
+    return reply;
+  }
+  flow_record* flow = state_.flows.Find(request.flow);
+  if (flow == nullptr || flow->serial != request.token.serial) {
+    state_.counted.Add(result_code::unknown_flow);
+    return reply;
+  }
+  reply.found = true;
+  reply.started = requests_.Fence(*flow, request.oldest_sequence);
+  return reply;
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/request_processor.cc
@@ -0,0 +1,535 @@
+#include "core/request_processor.h"
+
+#include <algorithm>
+
+namespace corianderplank {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Share of a slot that an open feed counts for, in thousandths.
+constexpr std::uint32_t kFeedLoadPermille = 20;
+/// Messages that may wait for acknowledgement before a feed is read on.
+constexpr std::size_t kFeedBacklog = 32;
+/// Times that idempotent work is sent to the backend server at most.
+constexpr std::uint8_t kMaxTries = 2;
+/// Waits that a refusal suggests to the caller.
+constexpr std::chrono::milliseconds kShedRetryAfter = 100ms;
+constexpr std::chrono::milliseconds kBusyRetryAfter = 200ms;
+
+bool IsExecutable(request_state state) {
+  return state == request_state::queued || state == request_state::running;
+}
+
+bool IsUnfinished(request_state state) {
+  return IsExecutable(state) || state == request_state::answering;
+}
+
+}  // namespace
+
+void request_processor::Configure(time_point now, const service& of) {
+  if (started_at_ == time_point()) {
+    started_at_ = now;
+  }
+  cold_start_ = of.cold_start;
+  const std::uint32_t slots = state_.settings.slots;
+  queue_.Configure(of.classes, of.queue_per_slot * slots, slots);
+}
+
+std::uint32_t request_processor::AllowedSlots(time_point now) const {
+  const std::uint32_t slots = std::max(1U, state_.settings.slots);
+  const auto age = now - started_at_;
+  if (cold_start_.count() == 0 || age >= cold_start_) {
+    return slots;
+  }
+  const auto share = std::chrono::duration<double>(age) /
+                     std::chrono::duration<double>(cold_start_);
+  return std::clamp(static_cast<std::uint32_t>(slots * share), 1U, slots);
+}
+
+void request_processor::AdvanceBase(flow_record& flow, std::uint32_t oldest) {
+  if (oldest <= flow.base) {
+    return;
+  }
+  flow.base = oldest;
+  std::erase_if(flow.requests, [&](request_handle handle) {
+    request_record* record = state_.requests.Find(handle);
+    if (record == nullptr) {
+      return true;
+    }
+    if (record->sequence >= oldest) {
+      return false;
+    }
+    if (record->state == request_state::queued) {
+      queue_.Remove(handle);
+    }
+    ReleaseFeed(*record);
+    if (record->executing) {
+      // The result frees the slot and removes the record.
+      record->state = request_state::refused;
+      state_.effects.CancelExecution(PackHandle(handle));
+      record->flow = {};
+      return true;
+    }
+    state_.requests.Remove(handle);
+    return true;
+  });
+}
+
+request_handle request_processor::FindSequence(const flow_record& flow,
+                                               std::uint32_t sequence) {
+  for (const request_handle handle : flow.requests) {
+    const request_record* record = state_.requests.Find(handle);
+    if (record != nullptr && record->sequence == sequence) {
+      return handle;
+    }
+  }
+  return {};
+}
+
+void request_processor::OnRequest(time_point now,
+                                  time_point arrived_at,
+                                  flow_record& flow,
+                                  const packet& value) {
+  AdvanceBase(flow, value.oldest_sequence);
+  if (value.sequence < flow.base) {
+    state_.counted.Add(result_code::below_window);
+    return;
+  }
+  if (value.sequence - flow.base >= kWindowSize) {
+    state_.counted.Add(result_code::above_window);
+    return;
+  }
+  const request_handle known = FindSequence(flow, value.sequence);
+  if (request_record* record = state_.requests.Find(known)) {
+    state_.counted.Add(result_code::duplicate_request);
+    RepeatState(flow, *record);
+    return;
+  }
+  request_record record;
+  record.flow = flow.id;
+  record.sequence = value.sequence;
+  record.request_id = value.request_id;
+  record.work = value.work;
+  record.traffic_class = value.traffic_class;
+  record.idempotent = value.idempotent || value.work != work_kind::request;
+  record.received_at = now;
+  record.deadline = arrived_at + value.time;
+  record.position = value.position;
+  record.count = value.count;
+  record.payload = value.payload;
+  const request_handle handle = state_.requests.Insert(std::move(record));
+  flow.requests.push_back(handle);
+  Admit(now, flow, handle);
+}
+
+result_code request_processor::ReasonToRefuse(
+    time_point now,
+    const flow_record& flow,
+    const request_record& record) const {
+  if (flow.state == flow_state::fenced) {
+    return result_code::fenced;
+  }
+  if (!state_.life.IsServing()) {
+    return result_code::draining;
+  }
+  if (record.deadline <= now) {
+    return result_code::deadline_passed;
+  }
+  return result_code::answered;
+}
+
+void request_processor::Admit(time_point now,
+                              flow_record& flow,
+                              request_handle handle) {
+  request_record& record = *state_.requests.Find(handle);
+  const result_code reason = ReasonToRefuse(now, flow, record);
+  if (reason != result_code::answered) {
+    Refuse(handle, reason);
+    return;
+  }
+  if (flow.state == flow_state::reserved) {
+    flow.state = flow_state::open;
+    --state_.reserved;
+  }
+  if (record.work == work_kind::feed) {
+    ++feeds_;
+    record.holds_feed = true;
+    record.state = request_state::running;
+    Start(now, handle, record);
+    return;
+  }
+  const admission_result admitted =
+      queue_.Push(record.traffic_class, {handle, record.deadline});
+  if (!admitted.accepted) {
+    Refuse(handle, result_code::overloaded);
+    return;
+  }
+  if (admitted.displaced) {
+    Refuse(*admitted.displaced, result_code::displaced);
+  }
+  StartWaiting(now);
+  if (record.state == request_state::queued) {
+    RepeatState(flow, record);
+  }
+}
+
+void request_processor::RepeatState(const flow_record& flow,
+                                    request_record& record) {
+  if (record.state == request_state::refused) {
+    SendRefusal(flow, record);
+    return;
+  }
+  if (!IsUnfinished(record.state)) {
+    return;
+  }
+  packet progress;
+  progress.kind = packet_kind::progress;
+  progress.sequence = record.sequence;
+  state_.Send(flow, progress, 0);
+}
+
+void request_processor::Refuse(request_handle handle, result_code code) {
+  request_record& record = *state_.requests.Find(handle);
+  if (record.may_have_run && OutcomeOf(code) == outcome_kind::not_run) {
+    code = result_code::backend_lost;
+  }
+  ReleaseFeed(record);
+  record.state = request_state::refused;
+  record.code = code;
+  record.payload.clear();
+  record.payload.shrink_to_fit();
+  state_.counted.Add(code);
+  state_.effects.RecordEvent({record.flow, record.request_id, code});
+  if (const flow_record* flow = state_.flows.Find(record.flow)) {
+    SendRefusal(*flow, record);
+  }
+}
+
+void request_processor::SendRefusal(const flow_record& flow,
+                                    const request_record& record) {
+  packet refusal;
+  refusal.kind = packet_kind::refused;
+  refusal.sequence = record.sequence;
+  refusal.request_id = record.request_id;
+  refusal.code = record.code;
+  refusal.time = record.code == result_code::shed_by_backend ? kShedRetryAfter
+                                                             : kBusyRetryAfter;
+  state_.Send(flow, refusal, 0);
+}
+
+void request_processor::StartWaiting(time_point now) {
+  const std::uint32_t allowed = AllowedSlots(now);
+  while (running_ < allowed) {
+    const auto next = queue_.Pop(allowed - running_);
+    if (!next) {
+      return;
+    }
+    request_record& record = *state_.requests.Find(*next);
+    ++running_;
+    if (record.deadline <= now) {
+      ReleaseSlot(record);
+      Refuse(*next, result_code::deadline_passed);
+      continue;
+    }
+    record.state = request_state::running;
+    Start(now, *next, record);
+  }
+}
+
+void request_processor::Start(time_point now,
+                              request_handle handle,
+                              request_record& record) {
+  record.executing = true;
+  ++record.tries;
+  execution call;
+  call.id = PackHandle(handle);
+  call.request_id = record.request_id;
+  call.flow = record.flow;
+  call.work = record.work;
+  call.traffic_class = record.traffic_class;
+  call.idempotent = record.idempotent;
+  call.position = record.position;
+  call.count = record.count;
+  call.timeout = std::max(
+      1ms, std::chrono::ceil<std::chrono::milliseconds>(record.deadline - now));
+  call.payload = record.payload;
+  state_.effects.StartExecution(call);
+}
+
+void request_processor::ReleaseSlot(request_record& record) {
+  if (record.work == work_kind::feed) {
+    return;
+  }
+  running_ -= std::min(running_, 1U);
+  queue_.OnFinished(record.traffic_class);
+}
+
+void request_processor::ReleaseFeed(request_record& record) {
+  feeds_ -= record.holds_feed ? 1 : 0;
+  record.holds_feed = false;
+}
+
+void request_processor::OnExecutionResult(time_point now,
+                                          std::uint64_t id,
+                                          execution_result result) {
+  const request_handle handle = UnpackHandle(id);
+  request_record* record = state_.requests.Find(handle);
+  if (record == nullptr || !record->executing) {
+    return;
+  }
+  record->executing = false;
+  ReleaseSlot(*record);
+  const bool wanted =
+      record->flow != flow_id{} && record->state == request_state::running;
+  if (wanted) {
+    monitor_.OnResult(now, result.status);
+  }
+  if (record->flow == flow_id{}) {
+    state_.requests.Remove(handle);
+  } else {
+    FinishExecution(now, handle, *record, std::move(result));
+  }
+  StartWaiting(now);
+}
+
+void request_processor::FinishExecution(time_point now,
+                                        request_handle handle,
+                                        request_record& record,
+                                        execution_result result) {
+  if (record.state != request_state::running) {
+    return;  // A fenced feed: its reader stops here.
+  }
+  switch (result.status) {
+    case execution_status::completed:
+      if (record.work == work_kind::feed) {
+        AppendFeed(now, handle, record, std::move(result.messages));
+        return;
+      }
+      record.answer.AppendWhole(result.body);
+      record.state = request_state::answering;
+      record.payload.clear();
+      record.payload.shrink_to_fit();
+      SendDue(now, record);
+      return;
+    case execution_status::unreachable:
+    case execution_status::shed:
+      Refuse(handle, result.status == execution_status::shed
+                         ? result_code::shed_by_backend
+                         : result_code::backend_unreachable);
+      return;
+    case execution_status::lost:
+      HandleLost(now, handle, record);
+      return;
+  }
+}
+
+void request_processor::HandleLost(time_point now,
+                                   request_handle handle,
+                                   request_record& record) {
+  record.may_have_run = true;
+  const bool may_retry =
+      record.idempotent && record.tries < kMaxTries && record.deadline > now;
+  if (!may_retry) {
+    Refuse(handle, result_code::backend_lost);
+    return;
+  }
+  state_.counted.Add(result_code::backend_retried);
+  if (record.work == work_kind::feed) {
+    Start(now, handle, record);
+    return;
+  }
+  // Idempotent work waits for a slot like any other.
+  record.state = request_state::queued;
+  const admission_result admitted =
+      queue_.Push(record.traffic_class, {handle, record.deadline});
+  if (!admitted.accepted) {
+    Refuse(handle, result_code::backend_lost);
+  } else if (admitted.displaced) {
+    Refuse(*admitted.displaced, result_code::displaced);
+  }
+}
+
+void request_processor::AppendFeed(time_point now,
+                                   request_handle handle,
+                                   request_record& record,
+                                   std::vector<std::string> messages) {
+  record.tries = 0;
+  for (std::string& message : messages) {
+    if (record.answer.IsClosed()) {
+      break;
+    }
+    ++record.position;
+    const bool last = record.count == 1;
+    record.count -= record.count > 0 ? 1 : 0;
+    record.answer.AppendMessage(std::move(message), last);
+  }
+  SendDue(now, record);
+  if (record.answer.IsClosed()) {
+    ReleaseFeed(record);
+    record.state = request_state::answering;
+    return;
+  }
+  if (record.answer.Unacknowledged() < kFeedBacklog) {
+    Start(now, handle, record);
+  }
+}
+
+void request_processor::OnAcknowledge(time_point now,
+                                      flow_record& flow,
+                                      const packet& value) {
+  const request_handle handle = FindSequence(flow, value.sequence);
+  request_record* record = state_.requests.Find(handle);
+  if (record != nullptr) {
+    record->answer.Acknowledge(value.fragment, value.selective);
+    if (record->answer.IsComplete()) {
+      record->state = request_state::answered;
+    } else {
+      SendDue(now, *record);
+    }
+    const bool reads_on = record->work == work_kind::feed &&
+                          record->state == request_state::running &&
+                          !record->executing;
+    if (reads_on && record->answer.Unacknowledged() < kFeedBacklog) {
+      Start(now, handle, *record);
+    }
+  }
+  AdvanceBase(flow, value.oldest_sequence);
+}
+
+void request_processor::OnCancel(time_point now,
+                                 flow_record& flow,
+                                 const packet& value) {
+  if (value.sequence < flow.base || value.sequence - flow.base >= kWindowSize) {
+    state_.counted.Add(result_code::below_window);
+    return;
+  }
+  request_handle handle = FindSequence(flow, value.sequence);
+  request_record* record = state_.requests.Find(handle);
+  if (record == nullptr) {
+    // The request may still be under way: it must never start.
+    request_record tombstone;
+    tombstone.flow = flow.id;
+    tombstone.sequence = value.sequence;
+    tombstone.request_id = value.request_id;
+    tombstone.received_at = now;
+    handle = state_.requests.Insert(std::move(tombstone));
+    flow.requests.push_back(handle);
+    Refuse(handle, result_code::cancelled);
+    return;
+  }
+  if (record->state == request_state::queued) {
+    queue_.Remove(handle);
+    Refuse(handle, result_code::cancelled);
+    return;
+  }
+  if (record->state != request_state::running) {
+    RepeatState(flow, *record);
+    return;
+  }
+  if (record->executing) {
+    state_.effects.CancelExecution(PackHandle(handle));
+  }
+  Refuse(handle, result_code::cancelled_while_running);
+}
+
+std::uint64_t request_processor::Fence(flow_record& flow,
+                                       std::uint32_t oldest) {
+  if (flow.state == flow_state::reserved) {
+    --state_.reserved;
+  }
+  flow.state = flow_state::fenced;
+  std::uint64_t started = 0;
+  for (const request_handle handle : flow.requests) {
+    request_record* record = state_.requests.Find(handle);
+    if (record == nullptr) {
+      continue;
+    }
+    if (record->state == request_state::queued) {
+      queue_.Remove(handle);
+      Refuse(handle, result_code::fenced);
+    }
+    const bool feed_runs = record->work == work_kind::feed &&
+                           record->state == request_state::running;
+    if (feed_runs) {
+      if (record->executing) {
+        state_.effects.CancelExecution(PackHandle(handle));
+      }
+      Refuse(handle, result_code::fenced);
+    }
+    const bool not_run = record->state == request_state::refused &&
+                         OutcomeOf(record->code) == outcome_kind::not_run;
+    const std::uint32_t offset = record->sequence - oldest;
+    if (!not_run && record->sequence >= oldest && offset < kWindowSize) {
+      started |= std::uint64_t{1} << offset;
+    }
+  }
+  return started;
+}
+
+void request_processor::Abandon(flow_record& flow) {
+  if (flow.state == flow_state::reserved) {
+    --state_.reserved;
+  }
+  AdvanceBase(flow, flow.base + kWindowSize);
+}
+
+bool request_processor::HasUnfinished(const flow_record& flow) {
+  return std::any_of(flow.requests.begin(), flow.requests.end(),
+                     [this](request_handle handle) {
+                       const request_record* record =
+                           state_.requests.Find(handle);
+                       return record != nullptr && IsUnfinished(record->state);
+                     });
+}
+
+void request_processor::SendDue(time_point now, request_record& record) {
+  const flow_record* flow = state_.flows.Find(record.flow);
+  if (flow == nullptr) {
+    return;
+  }
+  record.answer.SendDue(now, [&](const due_fragment& due) {
+    packet answer;
+    answer.kind = packet_kind::answer;
+    answer.sequence = record.sequence;
+    answer.request_id = record.request_id;
+    answer.fragment = due.index;
+    answer.last = due.last;
+    answer.payload = due.payload;
+    if (due.repeated) {
+      state_.counted.Add(result_code::answer_repeated);
+    }
+    state_.Send(*flow, answer,
+                due.repeated ? static_cast<std::uint32_t>(
+                                   now.time_since_epoch().count() & 0xff) +
+                                   1
+                             : 0);
+  });
+}
+
+void request_processor::Tick(time_point now) {
+  for (const request_handle handle : queue_.TakeExpired(now)) {
+    Refuse(handle, result_code::deadline_passed);
+  }
+  StartWaiting(now);
+  state_.requests.ForEach(
+      [&](request_handle /*handle*/, request_record& record) {
+        if (record.answer.Unacknowledged() > 0 &&
+            record.state != request_state::refused) {
+          SendDue(now, record);
+        }
+      });
+}
+
+std::uint32_t request_processor::Busy() const {
+  return running_ + static_cast<std::uint32_t>(queue_.Size());
+}
+
+void request_processor::UpdateLoad(time_point now) {
+  const std::uint32_t held = Busy() + state_.reserved;
+  state_.load_permille =
+      held * 1000 / AllowedSlots(now) + monitor_.HandicapPermille(now) +
+      feeds_ * kFeedLoadPermille / std::max(1U, state_.settings.slots);
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/result_code.cc
@@ -0,0 +1,171 @@
+#include "core/result_code.h"
+
+#include <algorithm>
+
+namespace corianderplank {
+namespace {
+
+constexpr result_code_entry kTable[] = {
+    {result_code::answered, outcome_kind::answered, "answered",
+     "The whole answer arrived."},
+    {result_code::draining, outcome_kind::not_run, "draining",
+     "The target is leaving and starts no new work."},
+    {result_code::overloaded, outcome_kind::not_run, "overloaded",
+     "The target's queue is full."},
+    {result_code::deadline_passed, outcome_kind::not_run, "deadline_passed",
+     "The deadline passed before the request started."},
+    {result_code::cancelled, outcome_kind::not_run, "cancelled",
+     "The caller cancelled the request before it started."},
+    {result_code::connection_limit, outcome_kind::not_run, "connection_limit",
+     "The target holds as many flows as its document allows."},
+    {result_code::shed_by_backend, outcome_kind::not_run, "shed_by_backend",
+     "The backend server refused the request before running it."},
+    {result_code::backend_unreachable, outcome_kind::not_run,
+     "backend_unreachable",
+     "No connection to the backend server could be made."},
+    {result_code::fenced, outcome_kind::not_run, "fenced",
+     "The flow continues at another target; the request did not start here."},
+    {result_code::no_target, outcome_kind::not_run, "no_target",
+     "No target of the service can take the flow."},
+    {result_code::open_timeout, outcome_kind::not_run, "open_timeout",
+     "No target accepted the flow in time; the request was never sent."},
+    {result_code::retry_budget_spent, outcome_kind::not_run,
+     "retry_budget_spent",
+     "The request was refused and the retry budget allows no further try."},
+    {result_code::displaced, outcome_kind::not_run, "displaced",
+     "Work of a weightier class took the request's place in the queue."},
+    {result_code::backend_lost, outcome_kind::outcome_unknown, "backend_lost",
+     "The connection to the backend server broke while the request ran."},
+    {result_code::answer_timeout, outcome_kind::outcome_unknown,
+     "answer_timeout", "No answer came before the deadline."},
+    {result_code::target_lost, outcome_kind::outcome_unknown, "target_lost",
+     "The target is gone and could not say whether the request ran."},
+    {result_code::flow_gone, outcome_kind::outcome_unknown, "flow_gone",
+     "The target no longer knows the flow."},
+    {result_code::cancelled_while_running, outcome_kind::outcome_unknown,
+     "cancelled_while_running",
+     "The request was cancelled after it had started."},
+    {result_code::resume_failed, outcome_kind::broken, "resume_failed",
+     "The flow could not be continued at any target in time."},
+    {result_code::flow_expired, outcome_kind::broken, "flow_expired",
+     "The caller was silent for longer than the flow's lease."},
+    {result_code::malformed, outcome_kind::dropped, "malformed",
+     "The datagram could not be decoded."},
+    {result_code::wrong_version, outcome_kind::dropped, "wrong_version",
+     "The datagram has another protocol version."},
+    {result_code::oversized, outcome_kind::dropped, "oversized",
+     "The datagram is larger than the protocol allows."},
+    {result_code::wrong_service, outcome_kind::dropped, "wrong_service",
+     "The datagram names another service than the one it reached."},
+    {result_code::unknown_target, outcome_kind::dropped, "unknown_target",
+     "The token names a target that is not one of the service's."},
+    {result_code::bad_token, outcome_kind::dropped, "bad_token",
+     "The token's authentication code does not match."},
+    {result_code::stale_incarnation, outcome_kind::dropped, "stale_incarnation",
+     "The token was issued by an earlier process of the agent."},
+    {result_code::below_window, outcome_kind::dropped, "below_window",
+     "The sequence number was finished earlier."},
+    {result_code::above_window, outcome_kind::dropped, "above_window",
+     "The sequence number is too far ahead."},
+    {result_code::reply_too_large, outcome_kind::dropped, "reply_too_large",
+     "The refusal would have been larger than the datagram it answers."},
+    {result_code::unknown_flow, outcome_kind::dropped, "unknown_flow",
+     "The flow is not in the table."},
+    {result_code::unexpected_kind, outcome_kind::dropped, "unexpected_kind",
+     "The datagram is of a kind that its receiver does not take."},
+    {result_code::duplicate_request, outcome_kind::dropped, "duplicate_request",
+     "The request was received before."},
+    {result_code::send_failed, outcome_kind::dropped, "send_failed",
+     "The operating system did not take the datagram."},
+    {result_code::unknown_service, outcome_kind::dropped, "unknown_service",
+     "The service is not in the document in force."},
+    {result_code::open_repeated, outcome_kind::retried, "open_repeated",
+     "An open was sent again for want of an answer."},
+    {result_code::request_repeated, outcome_kind::retried, "request_repeated",
+     "A request was sent again for want of an answer."},
+    {result_code::answer_repeated, outcome_kind::retried, "answer_repeated",
+     "A fragment was sent again for want of an acknowledgement."},
+    {result_code::redirected_for_load, outcome_kind::retried,
+     "redirected_for_load", "An open was passed on to a less loaded sibling."},
+    {result_code::redirected_for_drain, outcome_kind::retried,
+     "redirected_for_drain",
+     "An open was passed on because the target is leaving."},
+    {result_code::resumed_for_drain, outcome_kind::retried, "resumed_for_drain",
+     "A flow moved because its target is leaving."},
+    {result_code::resumed_for_silence, outcome_kind::retried,
+     "resumed_for_silence", "A flow moved because its target was silent."},
+    {result_code::retried_after_refusal, outcome_kind::retried,
+     "retried_after_refusal",
+     "A request that was not run was sent to another target."},
+    {result_code::target_ejected, outcome_kind::retried, "target_ejected",
+     "A target that left opens unanswered gets no opens for a while."},
+    {result_code::target_readmitted, outcome_kind::retried, "target_readmitted",
+     "An ejected target gets opens again."},
+    {result_code::backend_retried, outcome_kind::retried, "backend_retried",
+     "Idempotent work was sent to the backend server again."},
+    {result_code::lower_revision, outcome_kind::document, "lower_revision",
+     "The document is older than the one in force."},
+    {result_code::same_revision_differs, outcome_kind::document,
+     "same_revision_differs",
+     "The document has the revision in force but other contents."},
+    {result_code::other_environment, outcome_kind::document,
+     "other_environment", "The document is for another environment."},
+    {result_code::invalid_document, outcome_kind::document, "invalid_document",
+     "The document does not pass its checks."},
+    {result_code::platform_refused, outcome_kind::document, "platform_refused",
+     "The platform refused a call."},
+    {result_code::platform_unreachable, outcome_kind::document,
+     "platform_unreachable", "The platform did not answer a call."},
+    {result_code::single_source, outcome_kind::document, "single_source",
+     "The process began to serve with a document from a single source."},
+};
+
+}  // namespace
+
+std::span<const result_code_entry> ResultCodeTable() {
+  return kTable;
+}
+
+const result_code_entry* FindResultCode(result_code code) {
+  const auto* found =
+      std::lower_bound(std::begin(kTable), std::end(kTable), code,
+                       [](const result_code_entry& entry, result_code wanted) {
+                         return entry.code < wanted;
+                       });
+  if (found == std::end(kTable) || found->code != code) {
+    return nullptr;
+  }
+  return found;
+}
+
+std::string_view ResultCodeName(result_code code) {
+  const result_code_entry* entry = FindResultCode(code);
+  return entry == nullptr ? "unlisted" : entry->name;
+}
+
+std::string_view OutcomeName(outcome_kind outcome) {
+  switch (outcome) {
+    case outcome_kind::answered:
+      return "answered";
+    case outcome_kind::not_run:
+      return "not_run";
+    case outcome_kind::outcome_unknown:
+      return "outcome_unknown";
+    case outcome_kind::broken:
+      return "broken";
+    case outcome_kind::dropped:
+      return "dropped";
+    case outcome_kind::retried:
+      return "retried";
+    case outcome_kind::document:
+      return "document";
+  }
+  return "unlisted";
+}
+
+outcome_kind OutcomeOf(result_code code) {
+  const result_code_entry* entry = FindResultCode(code);
+  return entry == nullptr ? outcome_kind::outcome_unknown : entry->outcome;
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/result_code.h
@@ -0,0 +1,108 @@
+/// @file
+/// Numbered result codes, the same on the wire, in logs, metrics and reports.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace corianderplank {
+
+/// What a caller may conclude from a code.
+enum class outcome_kind : std::uint8_t {
+  answered,         ///< The whole answer arrived.
+  not_run,          ///< The request was not run and never will be.
+  outcome_unknown,  ///< The request may or may not have run.
+  broken,           ///< The flow could not be continued.
+  dropped,          ///< A datagram was discarded; no outcome follows.
+  retried,          ///< Work was sent again or elsewhere; no outcome follows.
+  document,         ///< An environment document was not taken.
+};
+
+/// Result codes; docs/RESULT-CODES.md is generated from the table.
+enum class result_code : std::uint16_t {
+  answered = 0,
+  draining = 101,
+  overloaded = 102,
+  deadline_passed = 103,
+  cancelled = 104,
+  connection_limit = 105,
+  shed_by_backend = 106,
+  backend_unreachable = 107,
+  fenced = 108,
+  no_target = 109,
+  open_timeout = 110,
+  retry_budget_spent = 111,
+  displaced = 112,
+  backend_lost = 201,
+  answer_timeout = 202,
+  target_lost = 203,
+  flow_gone = 204,
+  cancelled_while_running = 205,
+  resume_failed = 301,
+  flow_expired = 302,
+  malformed = 401,
+  wrong_version = 402,
+  oversized = 403,
+  wrong_service = 404,
+  unknown_target = 405,
+  bad_token = 406,
+  stale_incarnation = 407,
+  below_window = 408,
+  above_window = 409,
+  reply_too_large = 410,
+  unknown_flow = 411,
+  unexpected_kind = 412,
+  duplicate_request = 413,
+  send_failed = 414,
+  unknown_service = 415,
+  open_repeated = 501,
+  request_repeated = 502,
+  answer_repeated = 503,
+  redirected_for_load = 504,
+  redirected_for_drain = 505,
+  resumed_for_drain = 506,
+  resumed_for_silence = 507,
+  retried_after_refusal = 508,
+  target_ejected = 509,
+  target_readmitted = 510,
+  backend_retried = 511,
+  lower_revision = 601,
+  same_revision_differs = 602,
+  other_environment = 603,
+  invalid_document = 604,
+  platform_refused = 605,
+  platform_unreachable = 606,
+  single_source = 607,
+};
+
+/// One row of the table of codes.
+struct result_code_entry {
+  result_code code;
+  outcome_kind outcome;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+/// @return every code in the order of its number.
+std::span<const result_code_entry> ResultCodeTable();
+
+/// @param code a code, also one that a peer made up.
+/// @return its row, or nullptr when the number is not in the table.
+const result_code_entry* FindResultCode(result_code code);
+
+/// @param code a code.
+/// @return its name, or "unlisted".
+std::string_view ResultCodeName(result_code code);
+
+/// @param outcome an outcome.
+/// @return its name as reports print it.
+std::string_view OutcomeName(outcome_kind outcome);
+
+/// @param code a code.
+/// @return its outcome; outcome_unknown when the number is not in the table.
+outcome_kind OutcomeOf(result_code code);
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/product/daemon_host.cc
@@ -0,0 +1,155 @@
+#include "product/daemon_host.h"
+
+#include <chrono>
+
+#include "net/http_server.h"
+#include "product/admin_pages.h"
+#include "product/log.h"
+
+namespace corianderplank {
+
+std::int64_t WallTimeMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+struct daemon_host::state {
+  state(std::string role_name, const process_settings& settings)
+      : role_name(std::move(role_name)),
+        settings(settings),
+        impaired(settings.impairment_seed, settings.impairment),
+        peers(settings.impairment_enabled ? &impaired : nullptr),
+        watcher(loop,
+                settings,
+                peers,
+                counted,
+                [this](auto document, auto instances) {
+                  role->OnConfig(std::move(document), std::move(instances));
+                }) {}
+
+  void OnControlRequest(std::string bytes, control_reply reply) {
+    loop.Post([this, bytes = std::move(bytes), reply = std::move(reply)] {
+      const auto message = DecodeControl(bytes);
+      if (!message) {
+        counted.Add(result_code::malformed);
+        reply(EncodeControl({}));
+        return;
+      }
+      if (message->kind == control_kind::fetch_document) {
+        reply(EncodeControl(watcher.AnswerFetch(*message)));
+        return;
+      }
+      role->OnControl(*message, [reply](const control_message& answer) {
+        reply(EncodeControl(answer));
+      });
+    });
+  }
+
+  void OnAdmin(const http_request& request,
+               const std::shared_ptr<http_responder>& responder) {
+    http_response response;
+    response.content_type = "application/json";
+    if (request.path == "/metrics") {
+      response.content_type = "text/plain; version=0.0.4";
+      response.body = MetricsText(role_name, settings.name, counted);
+    } else if (request.path == "/metrics.json") {
+      response.body = MetricsJson(settings.name, counted);
+    } else if (request.path == "/status") {
+      response.body = ProcessJson(role_name, settings, watcher.Document().get(),
+                                  role->StatusJson());
+    } else if (request.path == "/events") {
+      const auto after = request.query.find("after");
+      response.body =
+          EventsJson(settings, events,
+                     after == request.query.end()
+                         ? 0
+                         : std::strtoull(after->second.c_str(), nullptr, 10));
+    } else if (request.path == "/explain") {
+      const auto part = [&](const char* name) {
+        const auto found = request.query.find(name);
+        return found == request.query.end() ? std::string() : found->second;
+      };
+      response.body = role->ExplainJson(part("flow"), part("service"));
+    } else if (request.path == "/impairment" && request.method == "POST" &&
+               settings.impairment_enabled) {
+      impaired.Block(ParseBlockList(request.body));
+      response.body = "{}";
+    } else {
+      response.status = 404;
+      response.body = "{}";
+    }
+    responder->Respond(std::move(response));
+  }
+
+  std::string role_name;
+  process_settings settings;
+  event_loop loop;
+  counters counted;
+  event_ring events;
+  impairment impaired;
+  control_client peers;
+  config_watcher watcher;
+  daemon_role* role = nullptr;
+};
+
+daemon_host::daemon_host(std::string role_name,
+                         const process_settings& settings)
+    : state_(std::make_unique<state>(std::move(role_name), settings)) {}
+
+daemon_host::~daemon_host() = default;
+
+void daemon_host::Run(daemon_role& role) {
+  state_->role = &role;
+  http_server admin(state_->loop, state_->settings.admin,
+                    [this](const http_request& request, auto responder) {
+                      state_->OnAdmin(request, responder);
+                    });
+  control_server server(state_->settings.control, [this](std::string request,
+                                                         control_reply reply) {
+    state_->OnControlRequest(std::move(request), std::move(reply));
+  });
+  state_->loop.OnStopSignal([this] {
+    LogEvent(log_level::info, "stop_requested");
+    state_->role->OnStop();
+  });
+  LogEvent(log_level::info, "started",
+           {{"role", state_->role_name},
+            {"data", FormatEndpoint(state_->settings.data)}});
+  state_->watcher.Start();
+  state_->loop.Run();
+  LogEvent(log_level::info, "stopped");
+}
+
+void daemon_host::Exit() {
+  state_->loop.Stop();
+}
+
+const process_settings& daemon_host::Settings() const {
+  return state_->settings;
+}
+
+counters& daemon_host::Counters() {
+  return state_->counted;
+}
+
+event_ring& daemon_host::Events() {
+  return state_->events;
+}
+
+event_loop& daemon_host::ControlLoop() {
+  return state_->loop;
+}
+
+control_client& daemon_host::Peers() {
+  return state_->peers;
+}
+
+impairment* daemon_host::Impaired() {
+  return state_->settings.impairment_enabled ? &state_->impaired : nullptr;
+}
+
+void daemon_host::FetchDocumentFrom(const endpoint& peer) {
+  state_->loop.Post([this, peer] { state_->watcher.FetchFrom(peer); });
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Utilities/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Starts a whole set-up on loopback, disturbs it and checks what happened."""
