--- a/Source/command/load_plan.cc
+++ b/Source/command/load_plan.cc
@@ -34,10 +34,12 @@
   return static_cast<work_kind>(draw(random_));
 }
 
-std::chrono::microseconds load_plan::DrawServiceTime() {
+std::chrono::microseconds load_plan::ServiceTimeOf(
+    std::uint64_t request_id) const {
+  std::mt19937_64 random(MixHash(options_.seed, request_id));
   std::exponential_distribution<double> draw(
       1.0 / static_cast<double>(options_.mean_service_time.count()));
-  return std::chrono::microseconds(static_cast<std::int64_t>(draw(random_)));
+  return std::chrono::microseconds(static_cast<std::int64_t>(draw(random)));
 }
 
 planned_flow load_plan::Next() {
@@ -54,7 +56,6 @@
   flow.traffic_class = chosen.traffic_class;
   flow.idempotent = flow.work != work_kind::request ||
                     share(random_) < options_.idempotent_share;
-  flow.service_time = DrawServiceTime();
   flow.answer_bytes = share(random_) < options_.large_answer_share
                           ? options_.large_answer_bytes
                           : options_.answer_bytes;
--- a/Source/command/load_plan.h
+++ b/Source/command/load_plan.h
@@ -40,7 +40,6 @@
   std::uint8_t traffic_class = 0;
   work_kind work = work_kind::request;
   bool idempotent = false;
-  std::chrono::microseconds service_time{0};
   std::uint32_t answer_bytes = 0;
 };
 
@@ -54,8 +53,10 @@
   /// @return the next flow, in order of time.
   planned_flow Next();
 
-  /// @return a service time for one more piece of work.
-  std::chrono::microseconds DrawServiceTime();
+  /// Does not disturb the arrivals, whenever it is called.
+  /// @param request_id the piece of work.
+  /// @return a service time for it.
+  std::chrono::microseconds ServiceTimeOf(std::uint64_t request_id) const;
 
   /// @return whether any service takes this kind of work.
   bool Has(work_kind work) const;
--- a/Source/command/load_run.cc
+++ b/Source/command/load_run.cc
@@ -93,8 +93,7 @@
   work_order order;
   order.service = flow.plan.of->name;
   order.request_id = ++next_request_id_;
-  order.duration =
-      flow.submitted == 0 ? flow.plan.service_time : plan_.DrawServiceTime();
+  order.duration = plan_.ServiceTimeOf(order.request_id);
   order.answer_bytes =
       flow.plan.work == work_kind::request ? flow.plan.answer_bytes : 0;
   request_spec spec;
--- a/Source/core/answer_stream.cc
+++ b/Source/core/answer_stream.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t kFragmentWindow = 32;
 constexpr std::chrono::microseconds kFirstTimeout = 60ms;
 constexpr std::chrono::microseconds kLongestTimeout = 1s;
-constexpr std::uint8_t kMaxTimeoutDoublings = 4;
+constexpr std::uint32_t kMaxTimeoutDoublings = 4;
 constexpr std::uint32_t kSelectiveBits = 64;
 
 }  // namespace
@@ -54,9 +54,10 @@
   if (item.tries == 0) {
     return true;
   }
-  const int doublings = std::min<int>(item.tries - 1, kMaxTimeoutDoublings);
+  const std::uint32_t doublings =
+      std::min(item.tries - 1, kMaxTimeoutDoublings);
   const auto timeout =
-      std::min(kFirstTimeout * (1 << doublings), kLongestTimeout);
+      std::min(kFirstTimeout * (1U << doublings), kLongestTimeout);
   return now - item.sent_at >= timeout;
 }
 
@@ -70,10 +71,9 @@
       continue;
     }
     const bool last = closed_ && offset + 1 == fragments_.size();
-    const bool repeated = item.tries > 0;
+    const std::uint32_t tries = item.tries++;
     item.sent_at = now;
-    item.tries = static_cast<std::uint8_t>(std::min(item.tries + 1, 255));
-    send({first_index_ + static_cast<std::uint32_t>(offset), last, repeated,
+    send({first_index_ + static_cast<std::uint32_t>(offset), last, tries,
           item.payload});
   }
 }
--- a/Source/core/answer_stream.h
+++ b/Source/core/answer_stream.h
@@ -16,7 +16,8 @@
 struct due_fragment {
   std::uint32_t index = 0;
   bool last = false;
-  bool repeated = false;
+  /// How often it was sent before.
+  std::uint32_t tries = 0;
   std::string_view payload;
 };
 
@@ -53,7 +54,7 @@
   struct fragment {
     std::string payload;
     time_point sent_at;
-    std::uint8_t tries = 0;
+    std::uint32_t tries = 0;
     bool acknowledged = false;
   };
 
--- a/Source/core/request_processor.cc
+++ b/Source/core/request_processor.cc
@@ -496,14 +496,10 @@
     answer.fragment = due.index;
     answer.last = due.last;
     answer.payload = due.payload;
-    if (due.repeated) {
+    if (due.tries > 0) {
       state_.counted.Add(result_code::answer_repeated);
     }
-    state_.Send(*flow, answer,
-                due.repeated ? static_cast<std::uint32_t>(
-                                   now.time_since_epoch().count() & 0xff) +
-                                   1
-                             : 0);
+    state_.Send(*flow, answer, due.tries);
   });
 }
 
--- a/Utilities/demo/fleet.py
+++ b/Utilities/demo/fleet.py
@@ -45,6 +45,8 @@
     def start_platform(self):
         self.spawn("platform", [f"{self.build}/Tests/platform_standin", "--listen", layouts.PLATFORM])
         self.wait_for("the platform", lambda: self.platform("limit", "2000"))
+        if self.processes["platform"].poll() is not None:
+            raise RuntimeError(f"the platform's address {layouts.PLATFORM} is in use; is another demo running?")
 
     def platform(self, what, body, query=""):
         status, text = http_call(layouts.PLATFORM, "POST", f"/control/{what}{query}", body)
@@ -128,6 +130,8 @@
 
     def wait_until_ready(self, limit=20.0):
         for name, host in self.daemon_hosts().items():
+            if self.processes[name].poll() is not None:
+                raise RuntimeError(f"{name} ended at once; is another demo running? See {self.path(name)}.log")
             self.wait_for(f"{name} to be ready", lambda host=host: self.is_ready(host), limit)
 
     def wait_for(self, what, condition, limit=20.0):
