--- a/Source/core/agent.cc
+++ b/Source/core/agent.cc
@@ -18,7 +18,12 @@
 constexpr int kMovesPerSweep = 100;
 /// A longer gap between two events is a pause of this process.
 constexpr auto kPause = 1s;
-constexpr double kReportsPerSecond = 10;
+/// Change of load that siblings are told of; less moves flows to and fro.
+constexpr std::uint32_t kReportThresholdPermille = 400;
+/// Control traffic that an agent may spend on telling its load.
+constexpr double kReportBytesPerSecond = 6000;
+/// Size of one report with its UDP and IP headers.
+constexpr double kReportBytes = 130;
 
 }  // namespace
 
@@ -27,13 +32,11 @@
              counters& counters)
     : state_(identity, effects, counters),
       requests_(state_),
-      opens_(state_, requests_) {
-  reporter_.SetBudget(kReportsPerSecond);
-}
+      opens_(state_, requests_) {}
 
 void agent::SetReporting(std::uint32_t threshold_permille,
                          double reports_per_second) {
-  threshold_permille_ = threshold_permille;
+  fixed_threshold_permille_ = threshold_permille;
   reporter_.SetBudget(reports_per_second);
 }
 
@@ -63,6 +66,11 @@
     state_.siblings.Configure(*of, state_.identity.target, instances);
     requests_.Configure(now, *of);
     state_.life.OnReady();
+    const std::size_t siblings = state_.siblings.All().size();
+    if (!fixed_threshold_permille_ && siblings > 0) {
+      reporter_.SetBudget(kReportBytesPerSecond /
+                          (kReportBytes * static_cast<double>(siblings)));
+    }
   }
   SetDrain(drain_reason::document, self == nullptr);
   SetDrain(drain_reason::instance_list, leaving);
@@ -292,11 +300,14 @@
   Answer(flow, packet_kind::move);
 }
 
-void agent::ReportLoad(time_point now) {
+std::uint32_t agent::ReportThreshold() const {
   const std::uint32_t one_slot = 1000 / std::max(1U, state_.settings.slots);
-  const std::uint32_t threshold =
-      threshold_permille_ > 0 ? threshold_permille_ : one_slot;
-  if (!reporter_.ShouldReport(now, state_.load_permille, threshold,
+  return fixed_threshold_permille_.value_or(
+      std::max(one_slot, kReportThresholdPermille));
+}
+
+void agent::ReportLoad(time_point now) {
+  if (!reporter_.ShouldReport(now, state_.load_permille, ReportThreshold(),
                               state_.life.IsServing())) {
     return;
   }
--- a/Source/core/agent.h
+++ b/Source/core/agent.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "core/agent_effects.h"
 #include "core/agent_state.h"
@@ -95,9 +96,10 @@
   /// @param now the present time.
   void Tick(time_point now);
 
-  /// Sets how far a load must change before it is told to the siblings.
-  /// @param threshold_permille the change, in thousandths of the slots.
-  /// @param reports_per_second reports allowed on average.
+  /// Replaces the policy of load reports, for measurements.
+  /// @param threshold_permille the change that is told, in thousandths of the
+  ///     slots; 0 to report as often as the budget allows.
+  /// @param reports_per_second reports allowed on average; 0 for none.
   void SetReporting(std::uint32_t threshold_permille,
                     double reports_per_second);
 
@@ -116,13 +118,14 @@
   bool IsOver(flow_record& flow);
   void AskToMove(time_point now, flow_record& flow);
   void JudgeBackend(time_point now);
+  std::uint32_t ReportThreshold() const;
   void ReportLoad(time_point now);
 
   agent_state state_;
   request_processor requests_;
   open_processor opens_;
   load_reporter reporter_;
-  std::uint32_t threshold_permille_ = 0;
+  std::optional<std::uint32_t> fixed_threshold_permille_;
   std::uint8_t drain_reasons_ = 0;
   time_point swept_at_;
   time_point clock_at_;
--- a/Source/core/entry.cc
+++ b/Source/core/entry.cc
@@ -106,6 +106,9 @@
     return;
   }
   picker_.OnLoad(now, value.target, value.load_permille, value.serving);
+  for (const target_id passed_by : value.visited) {
+    picker_.OnPassedOn(passed_by);
+  }
   if (value.revision > table_->Revision() && value.control_port != 0) {
     effects_.FetchDocumentFrom({from.address, value.control_port});
   }
--- a/Source/core/load_reporter.cc
+++ b/Source/core/load_reporter.cc
@@ -11,6 +11,7 @@
 constexpr auto kRefreshPeriod = 4s;
 /// Reports that may follow each other at once.
 constexpr double kBurst = 8;
+constexpr double kPlenty = 4;
 
 }  // namespace
 
@@ -32,13 +33,19 @@
                                  std::uint32_t load_permille,
                                  std::uint32_t threshold_permille,
                                  bool serving) {
+  if (reports_per_second_ <= 0) {
+    return false;
+  }
   Refill(now);
   const std::uint32_t change = load_permille > reported_permille_
                                    ? load_permille - reported_permille_
                                    : reported_permille_ - load_permille;
   const bool turned = !reported_ || serving != reported_serving_;
   const bool silent = now - reported_at_ >= kRefreshPeriod;
-  const bool changed = change >= threshold_permille;
+  // With budget to spare a smaller change is worth telling.
+  const std::uint32_t threshold =
+      tokens_ >= kPlenty ? threshold_permille / 2 : threshold_permille;
+  const bool changed = change >= threshold;
   if (!turned && !silent && !(changed && tokens_ >= 1)) {
     return false;
   }
--- a/Source/core/load_reporter.h
+++ b/Source/core/load_reporter.h
@@ -11,7 +11,8 @@
 /// Reports a change once it is large enough, within a budget of reports.
 class load_reporter {
  public:
-  /// @param reports_per_second reports that may be sent on average.
+  /// @param reports_per_second reports that may be sent on average; 0 for
+  ///     none at all.
   void SetBudget(double reports_per_second);
 
   /// @param now the present time.
--- a/Source/core/open_processor.cc
+++ b/Source/core/open_processor.cc
@@ -23,7 +23,7 @@
     known->caller = header.caller;
     known->entry = header.entry;
     known->heard_at = state_.lease_now;
-    SendOpened(*known, value.attempt);
+    SendOpened(header, *known, value.attempt);
     return;
   }
   if (PassOn(now, header, value)) {
@@ -81,10 +81,6 @@
   state_.counted.Add(must_leave ? result_code::redirected_for_drain
                                 : result_code::redirected_for_load);
   state_.effects.SendEnvelope(better->agent, passed);
-  // The entry must not take the silence of this agent for a failure.
-  envelope notice = state_.Header();
-  notice.kind = envelope_kind::load_report;
-  state_.effects.SendEnvelope(header.entry, notice);
   return true;
 }
 
@@ -166,10 +162,11 @@
     state_.counted.Add(reason);
     state_.effects.RecordEvent({flow.id, 0, reason});
   }
-  SendOpened(flow, value.attempt);
+  SendOpened(header, flow, value.attempt);
 }
 
-void open_processor::SendOpened(const flow_record& flow,
+void open_processor::SendOpened(const envelope& header,
+                                const flow_record& flow,
                                 std::uint16_t attempt) {
   packet opened;
   opened.kind = packet_kind::opened;
@@ -178,7 +175,13 @@
   opened.selective = flow.resume_started;
   opened.oldest_sequence = flow.resume_oldest;
   opened.sequence = flow.base;
-  state_.Send(flow, opened, 0);
+  opened.service = state_.identity.service;
+  opened.flow = flow.id;
+  opened.token = state_.TokenOf(flow);
+  envelope reply = state_.Header();
+  reply.caller = header.caller;
+  reply.visited = header.visited;
+  state_.effects.SendToCaller(header.entry, reply, opened);
 }
 
 void open_processor::RefuseOpen(const envelope& header,
@@ -195,6 +198,7 @@
   refusal.time = kOpenRetryAfter;
   envelope reply = state_.Header();
   reply.caller = header.caller;
+  reply.visited = header.visited;
   state_.effects.SendToCaller(header.entry, reply, refusal);
 }
 
--- a/Source/core/open_processor.h
+++ b/Source/core/open_processor.h
@@ -55,7 +55,9 @@
   void RefuseOpen(const envelope& header,
                   const packet& value,
                   result_code code);
-  void SendOpened(const flow_record& flow, std::uint16_t attempt);
+  void SendOpened(const envelope& header,
+                  const flow_record& flow,
+                  std::uint16_t attempt);
 
   agent_state& state_;
   request_processor& requests_;
--- a/Source/core/packet.h
+++ b/Source/core/packet.h
@@ -114,7 +114,8 @@
   target_id target;
   std::uint32_t load_permille = 0;
   bool serving = true;
-  /// Agents that have passed an open on.
+  /// Agents that have passed an open on; told to the entry with the answer,
+  /// so that it does not take their silence for a failure.
   std::array<target_id, 2> visited{};
   std::string_view inner;
 };
--- a/Source/core/target_picker.h
+++ b/Source/core/target_picker.h
@@ -33,6 +33,10 @@
                       target_id id,
                       std::uint32_t load_permille,
                       bool serving) = 0;
+
+  /// Takes the proof that a target has passed an open on.
+  /// @param id the target.
+  virtual void OnPassedOn(target_id id) = 0;
 };
 
 }  // namespace corianderplank
--- a/Source/core/two_choice_picker.cc
+++ b/Source/core/two_choice_picker.cc
@@ -149,6 +149,13 @@
   }
 }
 
+void two_choice_picker::OnPassedOn(target_id id) {
+  const auto found = views_.find(id);
+  if (found != views_.end()) {
+    found->second.unanswered = 0;
+  }
+}
+
 std::vector<std::string> two_choice_picker::ExplainTargets(
     time_point now,
     const service_routes& routes) const {
--- a/Source/core/two_choice_picker.h
+++ b/Source/core/two_choice_picker.h
@@ -26,6 +26,7 @@
               target_id id,
               std::uint32_t load_permille,
               bool serving) override;
+  void OnPassedOn(target_id id) override;
 
   /// @param now the present time.
   /// @param id a target.
--- a/Tests/core/session_test.cc
+++ b/Tests/core/session_test.cc
@@ -43,7 +43,7 @@
   options.trace = true;
   options.entries = 2;
   options.agents = 2;
-  options.reports_per_second = 0;
+  options.reports = report_policy{};
   return options;
 }
 
--- a/Tests/core/virtual_world.cc
+++ b/Tests/core/virtual_world.cc
@@ -541,8 +541,10 @@
   identity.secret[0] = static_cast<std::uint8_t>(Draw());
   ++node.life;
   node.core = std::make_unique<agent>(identity, node, counters_);
-  node.core->SetReporting(options_.report_threshold_permille,
-                          options_.reports_per_second);
+  if (options_.reports) {
+    node.core->SetReporting(options_.reports->threshold_permille,
+                            options_.reports->per_second);
+  }
   node.core->Configure(now_, document_, instances_);
   AgentTick(index, node.life);
 }
--- a/Tests/core/virtual_world.h
+++ b/Tests/core/virtual_world.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -20,6 +21,12 @@
 
 namespace corianderplank {
 
+/// When agents tell their load.
+struct report_policy {
+  std::uint32_t threshold_permille = 0;
+  double per_second = 0;
+};
+
 /// Shape and faults of a world.
 struct world_options {
   std::uint64_t seed = 1;
@@ -35,9 +42,8 @@
   std::uint32_t duplicate_permille = 0;
   std::uint32_t reorder_permille = 0;
   bool trace = false;
-  /// Reports a second that agents may send to their siblings; 0 for none.
-  double reports_per_second = 10;
-  std::uint32_t report_threshold_permille = 0;
+  /// Replaces the product's policy of load reports.
+  std::optional<report_policy> reports;
 };
 
 /// How a fake backend server behaves.
