--- a/Source/wire/control_codec.cc
+++ b/Source/wire/control_codec.cc
@@ -1,6 +1,6 @@
 #include "wire/control_codec.h"
 
-#include "wire/control_generated.h"
+#include <control_generated.h>
 
 namespace corianderplank {
 
--- a/Source/wire/datagram_codec.cc
+++ b/Source/wire/datagram_codec.cc
@@ -1,6 +1,6 @@
 #include "wire/datagram_codec.h"
 
-#include "wire/datagram_generated.h"
+#include <datagram_generated.h>
 
 namespace corianderplank {
 namespace {
--- a/Tests/core/virtual_world.cc
+++ b/Tests/core/virtual_world.cc
@@ -169,7 +169,7 @@
       : world(world),
         id(id),
         core(world.service_, id, *this, world.budget_, world.counters_) {}
-  void Send(const packet& value) override { world.SendToEntry(id, value); }
+  void Send(const packet& value) override { world.SendToEntry(value); }
   void OnOutcome(const request_outcome& outcome) override {
     work_record& record = world.work_.at(outcome.request_id);
     record.outcomes.push_back(outcome);
@@ -339,10 +339,10 @@
   }
 }
 
-void virtual_world::SendToEntry(flow_id flow, const packet& value) {
+void virtual_world::SendToEntry(const packet& value) {
   const std::size_t index = Draw() % entries_.size();
   Send("caller", "entry", options_.caller_hop, encoder_.Encode(value),
-       [this, index, flow](const std::string& bytes) {
+       [this, index](const std::string& bytes) {
          if (dead_entries_.contains(index)) {
            return;
          }
--- a/Tests/core/virtual_world.h
+++ b/Tests/core/virtual_world.h
@@ -137,7 +137,7 @@
             std::chrono::microseconds hop,
             std::string_view bytes,
             std::function<void(std::string)> deliver);
-  void SendToEntry(flow_id flow, const packet& value);
+  void SendToEntry(const packet& value);
   void DeliverToAgent(std::size_t index,
                       const endpoint& from,
                       const std::string& bytes);
--- a/Utilities/generate.sh
+++ b/Utilities/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Writes the generated headers of Source/wire anew; needs flatbuffers-compiler.
+# Writes the headers in Generated anew; needs flatbuffers-compiler.
 set -euo pipefail
-cd "$(dirname "$0")/../Source/wire"
-flatc --cpp --scoped-enums datagram.fbs control.fbs
+cd "$(dirname "$0")/.."
+flatc --cpp --scoped-enums -o Generated Source/wire/datagram.fbs Source/wire/control.fbs
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -28,7 +28,7 @@
 }
 
 sources() {
-  git ls-files 'Source/*.cc' 'Source/*.h' 'Tests/*.cc' 'Tests/*.h' | grep -v _generated.h
+  git ls-files 'Source/*.cc' 'Source/*.h' 'Tests/*.cc' 'Tests/*.h'
 }
 
 check_format() {
