Never take one agent's promise for another's when a flow moves twice

Cause: an agent kept, with a reservation, what the flow's old agent had promised to its fence. When the flow moved on and later came back from a third agent, the reservation was answered with the first promise. A request that the third agent was running looked as if it had not started, and the caller would send it again: a double run. A late copy of such an answer did the same at the caller.

Also: agents could only ask siblings of the document in force for a fence. A target that left the document was not asked, so a planned change left its requests in doubt. Former targets are kept as leaving now.

Ruled out: the attempt number alone (an agent repeats its answer with the new attempt).

--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -205,7 +205,7 @@
 void caller_flow::OnOpened(time_point now, const packet& value) {
   const bool waiting =
       state_ == caller_state::opening || state_ == caller_state::resuming;
-  if (!waiting || !value.token || state_ == caller_state::broken) {
+  if (!waiting || !value.token || value.attempt < search_attempt_) {
     return;
   }
   const std::optional<flow_token> old = token_;
@@ -370,6 +370,7 @@
     counters_.Add(reason);
   }
   state_ = caller_state::resuming;
+  search_attempt_ = attempt_ + 1;
   opening_since_ = now;
   open_sends_ = 0;
   SendOpen(now);
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -168,6 +168,9 @@
   caller_state state_ = caller_state::opening;
   std::optional<flow_token> token_;
   std::uint16_t attempt_ = 0;
+  /// First attempt of the present search for a target; answers to earlier ones
+  /// tell about an agent that the flow has left since.
+  std::uint16_t search_attempt_ = 1;
   std::uint32_t next_sequence_ = 1;
   std::uint64_t jitter_draws_ = 0;
   int open_sends_ = 0;
--- a/Source/core/flow_table.h
+++ b/Source/core/flow_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -31,7 +32,9 @@
   time_point move_sent_at;
   /// Sequence numbers below never start here.
   std::uint32_t base = 0;
-  /// What the old agent said when the flow was resumed here.
+  /// The token under which the flow was known to the agent that it came from.
+  std::optional<flow_token> resumed_from;
+  /// What that agent said when the flow was resumed here.
   bool resume_fenced = false;
   std::uint64_t resume_started = 0;
   std::uint32_t resume_oldest = 0;
--- a/Source/core/open_processor.cc
+++ b/Source/core/open_processor.cc
@@ -19,13 +19,10 @@
                             const envelope& header,
                             const packet& value) {
   flow_record* known = state_.flows.Find(value.flow);
-  if (known != nullptr && known->state != flow_state::fenced) {
-    known->caller = header.caller;
-    known->entry = header.entry;
-    known->heard_at = state_.lease_now;
-    SendOpened(header, *known, value.attempt);
+  if (known != nullptr && RepeatAnswer(header, value, *known)) {
     return;
   }
+  known = state_.flows.Find(value.flow);
   if (PassOn(now, header, value)) {
     return;
   }
@@ -49,6 +46,35 @@
   Accept(now, header, value, {});
 }
 
+bool open_processor::RepeatAnswer(const envelope& header,
+                                  const packet& value,
+                                  flow_record& known) {
+  if (known.state == flow_state::fenced) {
+    return false;
+  }
+  const bool returns = value.token && *value.token == state_.TokenOf(known);
+  if (returns || value.token == known.resumed_from) {
+    known.caller = header.caller;
+    known.entry = header.entry;
+    known.heard_at = state_.lease_now;
+    SendOpened(header, known, value.attempt);
+    return true;
+  }
+  if (!value.token) {
+    state_.counted.Add(result_code::duplicate_request);
+    return true;  // A late copy of the flow's very first open.
+  }
+  // The flow comes from another agent by now: what is known here about the
+  // earlier one must not be taken for that.
+  if (known.state == flow_state::reserved) {
+    requests_.Abandon(known);
+    state_.flows.Remove(value.flow);
+  } else {
+    requests_.Fence(known, known.base);
+  }
+  return false;
+}
+
 bool open_processor::PassOn(time_point now,
                             const envelope& header,
                             const packet& value) {
@@ -87,7 +113,9 @@
 void open_processor::Resume(time_point now,
                             const envelope& header,
                             const packet& value) {
-  if (pending_.contains(value.flow)) {
+  const auto waiting_already = pending_.find(value.flow);
+  if (waiting_already != pending_.end() &&
+      waiting_already->second.open.token == value.token) {
     return;
   }
   const sibling* old = state_.siblings.Find(value.token->target);
@@ -146,11 +174,15 @@
     RefuseOpen(header, value, result_code::draining);
     return;
   }
+  if (state_.flows.Find(value.flow) != nullptr) {
+    return;  // Opened anew while the old agent was asked.
+  }
   flow_record& flow = state_.flows.Insert(value.flow);
   flow.caller = header.caller;
   flow.entry = header.entry;
   flow.heard_at = state_.lease_now;
   flow.base = value.sequence;
+  flow.resumed_from = value.token;
   flow.resume_fenced = fence.found;
   flow.resume_started = fence.started;
   flow.resume_oldest = value.oldest_sequence;
--- a/Source/core/open_processor.h
+++ b/Source/core/open_processor.h
@@ -46,6 +46,9 @@
     packet open;
   };
 
+  bool RepeatAnswer(const envelope& header,
+                    const packet& value,
+                    flow_record& known);
   bool PassOn(time_point now, const envelope& header, const packet& value);
   void Resume(time_point now, const envelope& header, const packet& value);
   void Accept(time_point now,
--- a/Source/core/sibling_view.cc
+++ b/Source/core/sibling_view.cc
@@ -10,6 +10,9 @@
 /// Age from which a told load is no reason to pass an open on.
 constexpr auto kLoadLifetime = 10s;
 
+/// Targets that left the document and can still be asked for their flows.
+constexpr std::size_t kMaxFormer = 64;
+
 std::uint32_t ExpectedPermille(const sibling& item) {
   return item.load_permille + (item.passed + 1) * 1000 / item.slots;
 }
@@ -51,9 +54,23 @@
       }
     }
   }
+  KeepFormer(next);
   siblings_ = std::move(next);
 }
 
+void sibling_view::KeepFormer(std::vector<sibling>& next) const {
+  std::size_t kept = 0;
+  for (const sibling& item : siblings_) {
+    const bool listed =
+        std::any_of(next.begin(), next.end(),
+                    [&](const sibling& other) { return other.id == item.id; });
+    if (!listed && ++kept <= kMaxFormer) {
+      next.push_back(item);
+      next.back().leaving = true;
+    }
+  }
+}
+
 void sibling_view::OnLoad(time_point now,
                           target_id id,
                           std::uint32_t load_permille,
--- a/Source/core/sibling_view.h
+++ b/Source/core/sibling_view.h
@@ -30,6 +30,7 @@
 /// Decides whether an open would be better placed at a sibling.
 class sibling_view {
  public:
+  /// Targets that left the document are kept as leaving, for their flows.
   /// @param of the service in force.
   /// @param self this agent's target, which is left out.
   /// @param instances the instance list; it moves targets and marks leavers.
@@ -64,6 +65,8 @@
   const std::vector<sibling>& All() const { return siblings_; }
 
  private:
+  void KeepFormer(std::vector<sibling>& next) const;
+
   std::vector<sibling> siblings_;
 };
 
--- /dev/null
+++ b/Tests/core/agent_test.cc
@@ -0,0 +1,306 @@
+/// @file
+/// One agent against recorded effects: opens, resumption, refusals.
+
+#include <doctest/doctest.h>
+
+#include "core/agent.h"
+#include "core/caller_flow.h"
+
+namespace corianderplank {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point kStart = time_point() + 1h;
+const service_id kService = ServiceIdOf("service");
+
+/// Keeps what an agent decides.
+class recorded_effects : public agent_effects {
+ public:
+  void SendToCaller(const endpoint&,
+                    const envelope&,
+                    const packet& value) override {
+    packets.push_back(value);
+    packets.back().payload = {};
+  }
+  void SendEnvelope(const endpoint& to, const envelope& value) override {
+    if (value.kind == envelope_kind::to_agent) {
+      passed_to.push_back(to);
+    }
+  }
+  void StartExecution(const execution& call) override {
+    started.push_back(call.id);
+  }
+  void CancelExecution(std::uint64_t) override {}
+  void RequestFence(std::uint64_t resume_id,
+                    const endpoint& control,
+                    const fence_request& request) override {
+    fences.push_back(request);
+    fence_ids.push_back(resume_id);
+    fenced_at.push_back(control);
+  }
+  void FetchDocumentFrom(const endpoint&) override {}
+  void RecordEvent(const flow_event&) override {}
+
+  const packet* Last(packet_kind kind) const {
+    for (auto item = packets.rbegin(); item != packets.rend(); ++item) {
+      if (item->kind == kind) {
+        return &*item;
+      }
+    }
+    return nullptr;
+  }
+
+  std::vector<packet> packets;
+  std::vector<endpoint> passed_to;
+  std::vector<std::uint64_t> started;
+  std::vector<fence_request> fences;
+  std::vector<std::uint64_t> fence_ids;
+  std::vector<endpoint> fenced_at;
+};
+
+environment_document MakeDocument(std::size_t targets) {
+  environment_document document;
+  document.revision = {1};
+  service of;
+  of.name = "service";
+  of.id = kService;
+  of.queue_per_slot = 2;
+  of.classes.emplace_back();
+  for (std::size_t index = 0; index < targets; ++index) {
+    target item;
+    item.name = "target-" + std::to_string(index);
+    item.id = TargetIdOf(item.name);
+    item.agent = {static_cast<std::uint32_t>(0x0a000001 + index), 6000};
+    item.control = {static_cast<std::uint32_t>(0x0a000001 + index), 6001};
+    item.slots = 1;
+    item.connections = 100;
+    of.targets.push_back(item);
+  }
+  document.services.push_back(of);
+  return document;
+}
+
+agent_identity IdentityOf(std::size_t index) {
+  agent_identity identity;
+  identity.target = TargetIdOf("target-" + std::to_string(index));
+  identity.service = kService;
+  identity.incarnation = {100 + index};
+  identity.secret[0] = static_cast<std::uint8_t>(index);
+  return identity;
+}
+
+/// An agent for one of three targets.
+struct agent_bench {
+  explicit agent_bench(std::size_t index)
+      : core(IdentityOf(index), effects, counted) {
+    core.Configure(kStart, MakeDocument(3), {});
+  }
+
+  void Deliver(packet value, time_point now = kStart) {
+    envelope header;
+    header.service = kService;
+    header.caller = {1, 1};
+    header.entry = {2, 2};
+    value.service = kService;
+    core.OnPacket(now, now, header, value);
+  }
+
+  void Open(std::uint64_t flow,
+            std::uint16_t attempt,
+            const std::optional<flow_token>& token = {}) {
+    packet value;
+    value.kind = packet_kind::open;
+    value.flow = {flow};
+    value.attempt = attempt;
+    value.sequence = 5;
+    value.oldest_sequence = 3;
+    value.token = token;
+    Deliver(value);
+  }
+
+  void Request(std::uint64_t flow,
+               const flow_token& token,
+               std::uint32_t sequence) {
+    packet value;
+    value.kind = packet_kind::request;
+    value.flow = {flow};
+    value.token = token;
+    value.sequence = sequence;
+    value.oldest_sequence = sequence;
+    value.time = 1000ms;
+    Deliver(value);
+  }
+
+  counters counted;
+  recorded_effects effects;
+  agent core;
+};
+
+flow_token TokenOf(std::size_t index, std::uint64_t flow) {
+  const agent_identity identity = IdentityOf(index);
+  return token_authority(identity.target, identity.service,
+                         identity.incarnation, identity.secret)
+      .Issue({flow}, 1);
+}
+
+TEST_CASE("a resumption asks the agent that the open names, each time") {
+  agent_bench bench(2);
+  bench.Open(7, 2, TokenOf(0, 7));
+  REQUIRE(bench.effects.fences.size() == 1);
+  bench.core.OnFenceReply(kStart, bench.effects.fence_ids[0], {true, 0});
+  const packet* opened = bench.effects.Last(packet_kind::opened);
+  REQUIRE(opened != nullptr);
+  CHECK(opened->fenced);
+  const std::size_t answers = bench.effects.packets.size();
+  // The flow went to target-1 instead and comes from there now. What target-0
+  // promised says nothing about the requests that target-1 may have started.
+  bench.Open(7, 5, TokenOf(1, 7));
+  CHECK(bench.effects.packets.size() == answers);
+  REQUIRE(bench.effects.fences.size() == 2);
+  CHECK(bench.effects.fences[1].token == TokenOf(1, 7));
+}
+
+TEST_CASE("an open repeated within one resumption gets the same answer") {
+  agent_bench bench(2);
+  bench.Open(7, 2, TokenOf(0, 7));
+  bench.Open(7, 3, TokenOf(0, 7));
+  REQUIRE(bench.effects.fences.size() == 1);
+  bench.core.OnFenceReply(kStart, bench.effects.fence_ids[0], {true, 2});
+  const packet first = *bench.effects.Last(packet_kind::opened);
+  bench.Open(7, 4, TokenOf(0, 7));
+  const packet second = *bench.effects.Last(packet_kind::opened);
+  CHECK(bench.effects.fences.size() == 1);
+  CHECK(second.token == first.token);
+  CHECK(second.selective == 2);
+  CHECK(second.attempt == 4);
+}
+
+TEST_CASE("the agent of a target that left the document is still asked") {
+  agent_bench bench(2);
+  environment_document document = MakeDocument(3);
+  document.revision = {2};
+  document.services[0].targets.erase(document.services[0].targets.begin());
+  bench.core.Configure(kStart, document, {});
+  bench.Open(7, 2, TokenOf(0, 7));
+  REQUIRE(bench.effects.fences.size() == 1);
+  CHECK(bench.effects.fenced_at[0] == endpoint{0x0a000001, 6001});
+  CHECK(bench.effects.passed_to.empty());
+}
+
+TEST_CASE("a request that came before its flow was closed does not run again") {
+  agent_bench bench(0);
+  bench.Open(7, 1);
+  const flow_token first = *bench.effects.Last(packet_kind::opened)->token;
+  bench.Request(7, first, 5);
+  REQUIRE(bench.effects.started.size() == 1);
+  bench.core.OnExecutionResult(kStart, bench.effects.started[0],
+                               {execution_status::completed, "answer", {}, {}});
+  packet close;
+  close.kind = packet_kind::close;
+  close.flow = {7};
+  close.token = first;
+  bench.Deliver(close);
+  // Late copies of the open and of the request.
+  bench.Open(7, 1);
+  bench.Request(7, first, 5);
+  CHECK(bench.effects.started.size() == 1);
+  CHECK(bench.counted.Get(result_code::unknown_flow) == 1);
+}
+
+TEST_CASE("a cancelled request that arrives late is refused") {
+  agent_bench bench(0);
+  bench.Open(7, 1);
+  const flow_token token = *bench.effects.Last(packet_kind::opened)->token;
+  packet cancel;
+  cancel.kind = packet_kind::cancel;
+  cancel.flow = {7};
+  cancel.token = token;
+  cancel.sequence = 5;
+  bench.Deliver(cancel);
+  bench.Request(7, token, 5);
+  CHECK(bench.effects.started.empty());
+  CHECK(bench.effects.Last(packet_kind::refused)->code ==
+        result_code::cancelled);
+}
+
+TEST_CASE("packets for another service or with a forged token do nothing") {
+  agent_bench bench(0);
+  bench.Open(7, 1);
+  const flow_token token = *bench.effects.Last(packet_kind::opened)->token;
+  const std::size_t answers = bench.effects.packets.size();
+  packet foreign;
+  foreign.kind = packet_kind::request;
+  foreign.flow = {7};
+  foreign.token = token;
+  foreign.sequence = 5;
+  foreign.time = 1000ms;
+  foreign.service = ServiceIdOf("other");
+  envelope header;
+  header.service = kService;
+  bench.core.OnPacket(kStart, kStart, header, foreign);
+  header.service = ServiceIdOf("other");
+  bench.core.OnPacket(kStart, kStart, header, foreign);
+  CHECK(bench.counted.Get(result_code::wrong_service) == 2);
+  flow_token forged = token;
+  ++forged.mac;
+  bench.Request(7, forged, 5);
+  CHECK(bench.counted.Get(result_code::bad_token) == 1);
+  CHECK(bench.effects.started.empty());
+  CHECK(bench.effects.packets.size() == answers);
+}
+
+/// Keeps what a caller's flow decides.
+class recorded_caller : public caller_effects {
+ public:
+  void Send(const packet& value) override { sent.push_back(value); }
+  void OnOutcome(const request_outcome& outcome) override {
+    outcomes.push_back(outcome);
+  }
+  void OnFeedMessage(std::uint64_t, std::uint64_t, std::string_view) override {}
+  void OnBroken(result_code) override {}
+  std::vector<packet> sent;
+  std::vector<request_outcome> outcomes;
+};
+
+TEST_CASE("a caller takes no answer to an open of an earlier resumption") {
+  recorded_caller effects;
+  retry_budget budget(0.2, 10);
+  counters counted;
+  caller_flow flow(kService, {7}, effects, budget, counted);
+  request_spec spec;
+  spec.request_id = 1;
+  spec.timeout = 60s;
+  flow.Submit(kStart, spec);
+  const auto opened = [&](std::size_t target, std::uint16_t attempt) {
+    packet value;
+    value.kind = packet_kind::opened;
+    value.flow = {7};
+    value.attempt = attempt;
+    value.token = TokenOf(target, 7);
+    value.fenced = true;
+    value.oldest_sequence = 1;
+    return value;
+  };
+  const auto move = [&](std::size_t target) {
+    packet value;
+    value.kind = packet_kind::move;
+    value.flow = {7};
+    value.token = TokenOf(target, 7);
+    return value;
+  };
+  flow.OnPacket(kStart, opened(0, 1));
+  flow.OnPacket(kStart, move(0));
+  const std::uint16_t first_resume = effects.sent.back().attempt;
+  flow.OnPacket(kStart, opened(1, first_resume));
+  CHECK(flow.Target() == TokenOf(1, 7).target);
+  flow.OnPacket(kStart, move(1));
+  const std::size_t sent = effects.sent.size();
+  // Late, from a reservation of the first resumption: it tells of target-0.
+  flow.OnPacket(kStart, opened(2, first_resume));
+  CHECK(flow.State() == caller_state::resuming);
+  CHECK(effects.sent.size() == sent);
+}
+
+}  // namespace
+}  // namespace corianderplank
