--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -1,6 +1,7 @@
 #include "core/caller_flow.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace corianderplank {
 namespace {
@@ -86,7 +87,9 @@
   request.spec = std::move(spec);
   pending_.push_back(std::move(request));
   budget_.OnFirstTry();
-  if (state_ == caller_state::open) {
+  if (state_ == caller_state::broken) {
+    Finish(now, std::prev(pending_.end()), result_code::no_target);
+  } else if (state_ == caller_state::open) {
     SendUnsent(now);
   } else if (state_ == caller_state::opening && open_sends_ == 0) {
     opening_since_ = now;
--- a/Tests/core/virtual_world.cc
+++ b/Tests/core/virtual_world.cc
@@ -200,6 +200,7 @@
   virtual_world& world;
   flow_id id;
   int unfinished = 0;
+  int expected = 0;
   bool done = false;
   time_point closed_at;
   caller_flow core;
@@ -614,6 +615,12 @@
   return flow;
 }
 
+void virtual_world::Expect(flow_id flow, int pieces) {
+  flow_node& node = *flows_.at(flow);
+  node.unfinished += pieces;
+  node.expected += pieces;
+}
+
 std::uint64_t virtual_world::Submit(flow_id flow,
                                     request_spec spec,
                                     microseconds service_time,
@@ -632,7 +639,11 @@
   record.spec = spec;
   record.flow = flow;
   flow_node& node = *flows_.at(flow);
-  ++node.unfinished;
+  if (node.expected > 0) {
+    --node.expected;
+  } else {
+    ++node.unfinished;
+  }
   node.done = false;
   node.core.Submit(now_, spec);
   return spec.request_id;
--- a/Tests/core/virtual_world.h
+++ b/Tests/core/virtual_world.h
@@ -82,6 +82,8 @@
 
   /// Opens a flow with no work yet.
   flow_id OpenFlow();
+  /// Announces work, so that the flow is not closed before it was submitted.
+  void Expect(flow_id flow, int pieces);
   /// Submits work; service_time holds a slot of the fake backend server.
   std::uint64_t Submit(flow_id flow,
                        request_spec spec,
