Report, status, explain and diff; callers tell the end of work that was not answered

Why: an agent's refusal is not the end of the work, and an unknown outcome is known to the caller only. A caller now tells the end of each piece of work that was not answered to any entry (verdict), until the entry has noted it. Answers are counted by agents once they are acknowledged. Logs keep a tally when counts have changed, since they are all that outlives a process.

--- a/Source/agent/agent_daemon.cc
+++ b/Source/agent/agent_daemon.cc
@@ -247,11 +247,12 @@
 }
 
 void agent_daemon::RecordEvent(const flow_event& event) {
-  const std::int64_t now = WallTimeMs();
-  shared_.Events().Add(now, event);
+  shared_.Events().Add({WallTimeMs(), event_source::agent,
+                        ServiceIdOf(shared_.Settings().service), event, 0});
   if (IsLogged(event.code)) {
     LogEvent(log_level::warning, "outcome",
              {{"reason", std::string(ResultCodeName(event.code))},
+              {"outcome", std::string(OutcomeName(OutcomeOf(event.code)))},
               {"flow", std::to_string(event.flow.value)},
               {"request_id", std::to_string(event.request_id)}});
   }
--- a/Source/command/main.cc
+++ b/Source/command/main.cc
@@ -7,7 +7,11 @@
 
 #include "command/call_command.h"
 #include "command/check_command.h"
+#include "command/diff_command.h"
+#include "command/explain_command.h"
 #include "command/load_command.h"
+#include "command/report_command.h"
+#include "command/status_command.h"
 #include "product/daemon_options.h"
 
 namespace corianderplank {
@@ -20,6 +24,10 @@
   commands.push_back(std::make_unique<check_command>());
   commands.push_back(std::make_unique<call_command>());
   commands.push_back(std::make_unique<load_command>());
+  commands.push_back(std::make_unique<status_command>());
+  commands.push_back(std::make_unique<explain_command>());
+  commands.push_back(std::make_unique<diff_command>());
+  commands.push_back(std::make_unique<report_command>());
   return commands;
 }
 
--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -22,6 +22,8 @@
 constexpr auto kOpenLimit = 30s;
 constexpr auto kPingPeriod = 8s;
 constexpr int kMaxTries = 6;
+/// Times that a verdict is sent before the flow stops telling it.
+constexpr int kMaxVerdictSends = 8;
 
 milliseconds Backoff(int sends) {
   const int doublings = std::clamp(sends - 1, 0, 4);
@@ -164,6 +166,12 @@
 }
 
 void caller_flow::OnPacket(time_point now, const packet& value) {
+  if (value.kind == packet_kind::noted) {
+    std::erase_if(verdicts_, [&](const pending_verdict& item) {
+      return item.request_id == value.request_id;
+    });
+    return;
+  }
   if (state_ == caller_state::closed) {
     if (value.kind != packet_kind::refused && value.token) {
       packet close = Header(packet_kind::close);
@@ -379,7 +387,25 @@
   SendOpen(now);
 }
 
+void caller_flow::TickVerdicts(time_point now) {
+  std::erase_if(verdicts_, [](const pending_verdict& item) {
+    return item.sends >= kMaxVerdictSends;
+  });
+  for (pending_verdict& item : verdicts_) {
+    if (now < item.next_send) {
+      continue;
+    }
+    ++item.sends;
+    item.next_send = now + Jitter(Backoff(item.sends));
+    packet value = Header(packet_kind::verdict);
+    value.request_id = item.request_id;
+    value.code = item.code;
+    effects_.Send(value);
+  }
+}
+
 void caller_flow::Tick(time_point now) {
+  TickVerdicts(now);
   if (state_ == caller_state::closed || state_ == caller_state::broken) {
     return;
   }
@@ -482,6 +508,7 @@
     Finish(now, request, request->token ? result_code::target_lost : refusal);
   }
   if (was_open) {
+    verdicts_.push_back({0, result_code::resume_failed, 0, now});
     effects_.OnBroken(result_code::resume_failed);
   }
 }
@@ -501,6 +528,9 @@
       now - request->submitted_at);
   outcome.target = request->token ? request->token->target : target_id{};
   pending_.erase(request);
+  if (code != result_code::answered) {
+    verdicts_.push_back({outcome.request_id, code, 0, now});
+  }
   effects_.OnOutcome(outcome);
 }
 
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -134,6 +134,14 @@
   };
   using pending_list = std::list<pending_request>;
 
+  /// The end of work that was not answered, to be told to an entry.
+  struct pending_verdict {
+    std::uint64_t request_id = 0;
+    result_code code = result_code::answered;
+    int sends = 0;
+    time_point next_send;
+  };
+
   packet Header(packet_kind kind) const;
   std::uint32_t OldestSequence() const;
   pending_list::iterator FindSequence(std::uint32_t sequence);
@@ -157,6 +165,7 @@
   void TickDeadline(time_point now, pending_list::iterator request);
   bool IsSilent(time_point now, const pending_request& request) const;
   void GiveUp(time_point now);
+  void TickVerdicts(time_point now);
   void Finish(time_point now, pending_list::iterator request, result_code code);
   std::chrono::milliseconds Jitter(std::chrono::milliseconds base);
 
@@ -180,6 +189,7 @@
   time_point next_ping_;
   result_code open_refusal_ = result_code::open_timeout;
   pending_list pending_;
+  std::list<pending_verdict> verdicts_;
 };
 
 }  // namespace corianderplank
--- a/Source/core/entry.cc
+++ b/Source/core/entry.cc
@@ -44,6 +44,10 @@
     PlaceOpen(now, *routes, caller, value, datagram);
     return;
   }
+  if (value.kind == packet_kind::verdict) {
+    TakeVerdict(service, caller, value, datagram.size());
+    return;
+  }
   const located_target located = locator_.Locate(*routes, value);
   if (located.target == nullptr) {
     counters_.Add(located.code);
@@ -52,6 +56,24 @@
   Forward(*located.target, service, caller, datagram);
 }
 
+void entry::TakeVerdict(service_id service,
+                        const endpoint& caller,
+                        const packet& value,
+                        std::size_t request_bytes) {
+  const result_code_entry* known = FindResultCode(value.code);
+  if (known == nullptr || known->code == result_code::answered) {
+    counters_.Add(result_code::malformed);
+    return;
+  }
+  effects_.RecordVerdict(service, {value.flow, value.request_id, value.code});
+  packet noted;
+  noted.kind = packet_kind::noted;
+  noted.service = service;
+  noted.flow = value.flow;
+  noted.request_id = value.request_id;
+  effects_.ReplyToCaller(service, caller, noted, request_bytes);
+}
+
 void entry::PlaceOpen(time_point now,
                       const service_routes& routes,
                       const endpoint& caller,
@@ -72,7 +94,7 @@
   refusal.attempt = value.attempt;
   refusal.code = result_code::no_target;
   refusal.time = kNoTargetRetryAfter;
-  effects_.RefuseToCaller(routes.Id(), caller, refusal, datagram.size());
+  effects_.ReplyToCaller(routes.Id(), caller, refusal, datagram.size());
 }
 
 void entry::Forward(const route_target& target,
--- a/Source/core/entry.h
+++ b/Source/core/entry.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "core/agent_effects.h"
 #include "core/counters.h"
 #include "core/flow_locator.h"
 #include "core/packet.h"
@@ -30,13 +31,18 @@
 
   /// @param service the service from whose address to send.
   /// @param caller where to send.
-  /// @param value a refusal.
-  /// @param request_bytes size of the datagram that it answers; the refusal
-  ///     is dropped when it is larger.
-  virtual void RefuseToCaller(service_id service,
-                              const endpoint& caller,
-                              const packet& value,
-                              std::size_t request_bytes) = 0;
+  /// @param value the entry's own reply to a packet.
+  /// @param request_bytes size of the datagram that it answers; the reply is
+  ///     dropped when it is larger.
+  virtual void ReplyToCaller(service_id service,
+                             const endpoint& caller,
+                             const packet& value,
+                             std::size_t request_bytes) = 0;
+
+  /// A caller told how work ended that was not answered.
+  /// @param service the service.
+  /// @param event the flow, the work and the reason.
+  virtual void RecordVerdict(service_id service, const flow_event& event) = 0;
 
   /// A peer has a newer document than this process.
   /// @param peer control endpoint of the peer.
@@ -88,6 +94,10 @@
                service_id service,
                const endpoint& caller,
                std::string_view datagram);
+  void TakeVerdict(service_id service,
+                   const endpoint& caller,
+                   const packet& value,
+                   std::size_t request_bytes);
   void PlaceOpen(time_point now,
                  const service_routes& routes,
                  const endpoint& caller,
--- a/Source/core/packet.h
+++ b/Source/core/packet.h
@@ -49,6 +49,8 @@
   ping,         ///< Caller asks whether the flow is alive.
   pong,         ///< Agent says that it is.
   close,        ///< Caller is done with the flow.
+  verdict,      ///< Caller tells how work ended that was not answered.
+  noted,        ///< Entry has recorded the verdict.
 };
 
 /// Kinds of work.
--- a/Source/core/request_processor.cc
+++ b/Source/core/request_processor.cc
@@ -64,6 +64,8 @@
       queue_.Remove(handle);
     }
     ReleaseFeed(*record);
+    // The caller is done with it, so its last acknowledgement was lost.
+    CountAnswered(*record);
     if (record->executing) {
       // The result frees the slot and removes the record.
       record->state = request_state::refused;
@@ -265,6 +267,13 @@
   queue_.OnFinished(record.traffic_class);
 }
 
+void request_processor::CountAnswered(request_record& record) {
+  if (record.state == request_state::answering) {
+    record.state = request_state::answered;
+    state_.counted.Add(result_code::answered);
+  }
+}
+
 void request_processor::ReleaseFeed(request_record& record) {
   feeds_ -= record.holds_feed ? 1 : 0;
   record.holds_feed = false;
@@ -383,7 +392,7 @@
   if (record != nullptr) {
     record->answer.Acknowledge(value.fragment, value.selective);
     if (record->answer.IsComplete()) {
-      record->state = request_state::answered;
+      CountAnswered(*record);
     } else {
       SendDue(now, *record);
     }
--- a/Source/core/request_processor.h
+++ b/Source/core/request_processor.h
@@ -107,6 +107,7 @@
                   std::vector<std::string> messages);
   void SendDue(time_point now, request_record& record);
   void ReleaseFeed(request_record& record);
+  void CountAnswered(request_record& record);
   std::uint32_t AllowedSlots(time_point now) const;
 
   agent_state& state_;
--- a/Source/entry/entry_daemon.cc
+++ b/Source/entry/entry_daemon.cc
@@ -140,10 +140,10 @@
   }
 }
 
-void entry_daemon::RefuseToCaller(service_id service,
-                                  const endpoint& caller,
-                                  const packet& value,
-                                  std::size_t request_bytes) {
+void entry_daemon::ReplyToCaller(service_id service,
+                                 const endpoint& caller,
+                                 const packet& value,
+                                 std::size_t request_bytes) {
   const std::string_view datagram = encoder_.Encode(value);
   if (datagram.size() > request_bytes) {
     shared_.Counters().Add(result_code::reply_too_large);
@@ -152,6 +152,19 @@
   SendToCaller(service, caller, datagram);
 }
 
+void entry_daemon::RecordVerdict(service_id service, const flow_event& event) {
+  shared_.Verdicts().Add(event.code);
+  shared_.Events().Add({WallTimeMs(), event_source::caller, service, event, 0});
+  if (OutcomeOf(event.code) != outcome_kind::not_run) {
+    LogEvent(log_level::warning, "verdict",
+             {{"reason", std::string(ResultCodeName(event.code))},
+              {"outcome", std::string(OutcomeName(OutcomeOf(event.code)))},
+              {"service", std::to_string(service.value)},
+              {"flow", std::to_string(event.flow.value)},
+              {"request_id", std::to_string(event.request_id)}});
+  }
+}
+
 void entry_daemon::FetchDocumentFrom(const endpoint& peer) {
   shared_.FetchDocumentFrom(peer);
 }
--- a/Source/entry/entry_daemon.h
+++ b/Source/entry/entry_daemon.h
@@ -36,10 +36,11 @@
   void SendToCaller(service_id service,
                     const endpoint& caller,
                     std::string_view datagram) override;
-  void RefuseToCaller(service_id service,
-                      const endpoint& caller,
-                      const packet& value,
-                      std::size_t request_bytes) override;
+  void ReplyToCaller(service_id service,
+                     const endpoint& caller,
+                     const packet& value,
+                     std::size_t request_bytes) override;
+  void RecordVerdict(service_id service, const flow_event& event) override;
   void FetchDocumentFrom(const endpoint& peer) override;
 
   void UseTable(const std::shared_ptr<const routing_table>& table);
--- a/Source/product/daemon_host.cc
+++ b/Source/product/daemon_host.cc
@@ -1,5 +1,6 @@
 #include "product/daemon_host.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "net/http_server.h"
@@ -7,6 +8,11 @@
 #include "product/log.h"
 
 namespace corianderplank {
+namespace {
+
+constexpr std::chrono::milliseconds kTallyPeriod{5000};
+
+}  // namespace
 
 std::int64_t WallTimeMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -59,11 +65,14 @@
                                   role->StatusJson());
     } else if (request.path == "/events") {
       const auto after = request.query.find("after");
-      response.body =
-          EventsJson(settings, events,
-                     after == request.query.end()
-                         ? 0
-                         : std::strtoull(after->second.c_str(), nullptr, 10));
+      const std::uint64_t number =
+          after == request.query.end()
+              ? 0
+              : std::strtoull(after->second.c_str(), nullptr, 10);
+      const auto document = watcher.Document();
+      response.body = EventsJson({role_name, settings, started_ms, &events,
+                                  &counted, &verdicts, document.get()},
+                                 number);
     } else if (request.path == "/explain") {
       const auto part = [&](const char* name) {
         const auto found = request.query.find(name);
@@ -81,10 +90,32 @@
     responder->Respond(std::move(response));
   }
 
+  // Logs are all that outlives the process: what was counted goes there, once
+  // in a while and only when it has changed.
+  void LogTally() {
+    const std::string counters_text = CountersJson(counted);
+    const std::string verdicts_text = CountersJson(verdicts);
+    if (counters_text + verdicts_text == tallied) {
+      return;
+    }
+    tallied = counters_text + verdicts_text;
+    LogEvent(log_level::info, "tally",
+             {{"counters", counters_text},
+              {"verdicts", verdicts_text},
+              {"intervals", IntervalsJson(events, tallied_second)}});
+    for (const load_interval& item : events.Intervals()) {
+      tallied_second = std::max(tallied_second, item.second);
+    }
+  }
+
   std::string role_name;
   process_settings settings;
   event_loop loop;
   counters counted;
+  counters verdicts;
+  std::int64_t started_ms = WallTimeMs();
+  std::string tallied;
+  std::int64_t tallied_second = 0;
   event_ring events;
   impairment impaired;
   control_client peers;
@@ -114,9 +145,14 @@
   });
   LogEvent(log_level::info, "started",
            {{"role", state_->role_name},
+            {"service", state_->settings.service},
+            {"failure_domain", state_->settings.failure_domain},
+            {"started_ms", std::to_string(state_->started_ms)},
             {"data", FormatEndpoint(state_->settings.data)}});
+  state_->loop.Every(kTallyPeriod, [this] { state_->LogTally(); });
   state_->watcher.Start();
   state_->loop.Run();
+  state_->LogTally();
   LogEvent(log_level::info, "stopped");
 }
 
@@ -132,6 +168,10 @@
   return state_->counted;
 }
 
+counters& daemon_host::Verdicts() {
+  return state_->verdicts;
+}
+
 event_ring& daemon_host::Events() {
   return state_->events;
 }
--- a/Source/product/daemon_host.h
+++ b/Source/product/daemon_host.h
@@ -66,6 +66,8 @@
   const process_settings& Settings() const;
   /// @return the counters of result codes.
   counters& Counters();
+  /// @return the ends of work that callers told, by reason.
+  counters& Verdicts();
   /// @return the latest events.
   event_ring& Events();
   /// @return the control loop.
--- a/Source/product/event_ring.cc
+++ b/Source/product/event_ring.cc
@@ -8,9 +8,10 @@
 
 }  // namespace
 
-void event_ring::Add(std::int64_t time_ms, const flow_event& event) {
+void event_ring::Add(recorded_event event) {
   const std::lock_guard lock(mutex_);
-  events_.push_back({next_number_++, time_ms, event});
+  event.number = next_number_++;
+  events_.push_back(event);
   if (events_.size() > kMaxEvents) {
     events_.pop_front();
     ++dropped_;
--- a/Source/product/event_ring.h
+++ b/Source/product/event_ring.h
@@ -12,11 +12,19 @@
 
 namespace corianderplank {
 
+/// Who says that an event happened.
+enum class event_source : std::uint8_t {
+  agent,   ///< The agent that owns the flow decided it.
+  caller,  ///< The caller told it as the end of its work.
+};
+
 /// An event with its time and place.
 struct recorded_event {
-  std::uint64_t number = 0;
   std::int64_t time_ms = 0;  ///< Milliseconds since 1970.
+  event_source source = event_source::agent;
+  service_id service;
   flow_event event;
+  std::uint64_t number = 0;  ///< Given by the ring.
 };
 
 /// Load over one second.
@@ -31,9 +39,8 @@
 /// Keeps the latest events and load intervals. Safe for any thread.
 class event_ring {
  public:
-  /// @param time_ms wall time in milliseconds since 1970.
-  /// @param event the event.
-  void Add(std::int64_t time_ms, const flow_event& event);
+  /// @param event the event; it is given its number.
+  void Add(recorded_event event);
 
   /// @param interval one second's load.
   void AddInterval(const load_interval& interval);
--- a/Source/wire/datagram_codec.cc
+++ b/Source/wire/datagram_codec.cc
@@ -31,7 +31,7 @@
 
 bool IsKnownKind(std::uint8_t kind) {
   return kind >= static_cast<std::uint8_t>(packet_kind::open) &&
-         kind <= static_cast<std::uint8_t>(packet_kind::close);
+         kind <= static_cast<std::uint8_t>(packet_kind::noted);
 }
 
 flow_token TokenOf(const schema::Token& token) {
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -224,6 +224,64 @@
         result_code::cancelled);
 }
 
+TEST_CASE("a draining agent starts nothing and asks the caller to move") {
+  agent_bench bench(0);
+  bench.Open(7, 1);
+  const flow_token token = *bench.effects.Last(packet_kind::opened)->token;
+  bench.core.SetDrain(drain_reason::backend, true);
+  bench.Request(7, token, 5);
+  CHECK(bench.effects.started.empty());
+  CHECK(bench.effects.Last(packet_kind::refused)->code ==
+        result_code::draining);
+  bench.core.Tick(kStart + 1s);
+  CHECK(bench.effects.Last(packet_kind::move) != nullptr);
+  bench.Open(8, 1);
+  CHECK(bench.core.Summary().flows == 1);
+  bench.core.SetDrain(drain_reason::backend, false);
+  bench.Request(7, token, 6);
+  CHECK(bench.effects.started.size() == 1);
+}
+
+TEST_CASE("classes together take no more than the slots") {
+  agent_bench bench(0);
+  environment_document document = MakeDocument(1);
+  document.services[0].classes.emplace_back();
+  bench.core.Configure(kStart, document, {});
+  for (std::uint64_t flow = 1; flow <= 2; ++flow) {
+    bench.Open(flow, 1);
+    packet value;
+    value.kind = packet_kind::request;
+    value.flow = {flow};
+    value.token = bench.effects.Last(packet_kind::opened)->token;
+    value.sequence = 5;
+    value.traffic_class = static_cast<std::uint8_t>(flow - 1);
+    value.time = 1000ms;
+    bench.Deliver(value);
+  }
+  CHECK(bench.effects.started.size() == 1);
+  bench.core.OnExecutionResult(kStart, bench.effects.started[0],
+                               {execution_status::completed, "answer", {}, {}});
+  CHECK(bench.effects.started.size() == 2);
+}
+
+TEST_CASE("a pause of the agent does not use up its flows' leases") {
+  agent_bench bench(0);
+  bench.Open(7, 1);
+  bench.Request(7, *bench.effects.Last(packet_kind::opened)->token, 5);
+  time_point now = kStart;
+  bench.core.Tick(now);
+  now += 60s;
+  bench.core.Tick(now);
+  CHECK(bench.core.Summary().flows == 1);
+  CHECK(bench.counted.Get(result_code::flow_expired) == 0);
+  for (int step = 0; step < 400; ++step) {
+    now += 100ms;
+    bench.core.Tick(now);
+  }
+  CHECK(bench.core.Summary().flows == 0);
+  CHECK(bench.counted.Get(result_code::flow_expired) == 1);
+}
+
 TEST_CASE("packets for another service or with a forged token do nothing") {
   agent_bench bench(0);
   bench.Open(7, 1);
--- a/Tests/core/core_benchmark.cc
+++ b/Tests/core/core_benchmark.cc
@@ -86,10 +86,11 @@
     benchmark::DoNotOptimize(encoder_.Encode(value));
   }
   void SendToCaller(service_id, const endpoint&, std::string_view) override {}
-  void RefuseToCaller(service_id,
-                      const endpoint&,
-                      const packet&,
-                      std::size_t) override {}
+  void ReplyToCaller(service_id,
+                     const endpoint&,
+                     const packet&,
+                     std::size_t) override {}
+  void RecordVerdict(service_id, const flow_event&) override {}
   void FetchDocumentFrom(const endpoint&) override {}
 
  private:
--- a/Tests/core/promise_test.cc
+++ b/Tests/core/promise_test.cc
@@ -245,6 +245,12 @@
   world.RunFor(20s);
   CHECK_MESSAGE(world.Violations().empty(), Joined(world.Violations()));
   CHECK(CountOutcomes(world)[outcome_kind::not_run] > 0);
+  // Every end that is no answer was told to an entry.
+  for (const auto& [id, record] : world.Work()) {
+    const bool answered =
+        record.outcomes.front().outcome == outcome_kind::answered;
+    CHECK(world.Verdicts().contains(id) != answered);
+  }
 }
 
 TEST_CASE("both sides of a partition go on with what they reach") {
--- a/Tests/core/virtual_world.cc
+++ b/Tests/core/virtual_world.cc
@@ -33,7 +33,7 @@
   static constexpr const char* kNames[] = {
       "?",      "open",        "opened", "request", "progress",
       "answer", "acknowledge", "cancel", "refused", "move",
-      "ping",   "pong",        "close"};
+      "ping",   "pong",        "close",  "verdict", "noted"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -91,13 +91,16 @@
                world.options_.caller_hop, datagram,
                [this](const std::string& bytes) { ToCaller(bytes); });
   }
-  void RefuseToCaller(service_id service,
-                      const endpoint& caller,
-                      const packet& value,
-                      std::size_t) override {
+  void ReplyToCaller(service_id service,
+                     const endpoint& caller,
+                     const packet& value,
+                     std::size_t) override {
     const std::string bytes(world.encoder_.Encode(value));
     SendToCaller(service, caller, bytes);
   }
+  void RecordVerdict(service_id, const flow_event& event) override {
+    world.verdicts_[event.request_id] = event.code;
+  }
   void FetchDocumentFrom(const endpoint&) override {}
   void ToCaller(const std::string& bytes);
 
@@ -158,7 +161,7 @@
   std::uint32_t busy = 0;
   bool frozen = false;
   time_point frozen_at;
-  std::vector<std::pair<endpoint, std::string>> inbox;
+  /// What came while it was frozen, in the order of arrival.
   std::vector<std::function<void()>> deferred;
   std::map<std::uint64_t, execution> running;
   std::set<std::uint64_t> cancelled;
@@ -382,7 +385,9 @@
                                    const std::string& bytes) {
   agent_node& node = *agents_[index];
   if (node.frozen) {
-    node.inbox.emplace_back(from, bytes);
+    node.deferred.push_back([this, index, from, bytes] {
+      ProcessAtAgent(index, agents_[index]->frozen_at, from, bytes);
+    });
     return;
   }
   ProcessAtAgent(index, now_, from, bytes);
@@ -522,7 +527,6 @@
   agent_node& node = *agents_[index];
   node.core.reset();
   node.frozen = false;
-  node.inbox.clear();
   node.deferred.clear();
   ++node.life;
   // The backend server sees its connections close and stops what it runs.
@@ -569,11 +573,6 @@
   for (const auto& action : deferred) {
     action();
   }
-  const auto inbox = std::move(node.inbox);
-  node.inbox.clear();
-  for (const auto& [from, bytes] : inbox) {
-    ProcessAtAgent(index, node.frozen_at, from, bytes);
-  }
 }
 
 void virtual_world::DrainAgent(std::size_t index,
@@ -691,6 +690,11 @@
                       " outcomes");
     }
     for (const request_outcome& outcome : record.outcomes) {
+      const bool answered = outcome.outcome == outcome_kind::answered;
+      if (verdicts_.contains(id) &&
+          (answered || verdicts_.at(id) != outcome.code)) {
+        wrong.push_back(name + " has a verdict that is not its outcome");
+      }
       if (outcome.outcome == outcome_kind::not_run && ran > 0) {
         wrong.push_back(name + " was called not run and ran");
       }
--- a/Tests/core/virtual_world.h
+++ b/Tests/core/virtual_world.h
@@ -115,6 +115,9 @@
   std::size_t BrokenFlows() const { return broken_; }
   std::uint64_t ReportBytes() const { return report_bytes_; }
   std::uint64_t Reports() const { return reports_; }
+  const std::map<std::uint64_t, result_code>& Verdicts() const {
+    return verdicts_;
+  }
   std::size_t OpenFlows() const { return flows_.size(); }
 
   /// @return every breach of what must always hold; empty when all is well.
@@ -186,6 +189,7 @@
   std::map<std::uint64_t, std::chrono::microseconds> service_times_;
   std::vector<backend_record> records_;
   std::vector<std::string> trace_;
+  std::map<std::uint64_t, result_code> verdicts_;
   std::set<std::size_t> dead_entries_;
   std::set<std::pair<endpoint, endpoint>> blocked_;
 };
--- a/Tests/product/product_test.cc
+++ b/Tests/product/product_test.cc
@@ -109,8 +109,9 @@
 TEST_CASE("the event ring is bounded and says what it dropped") {
   event_ring ring;
   for (std::uint64_t number = 0; number < 20100; ++number) {
-    ring.Add(static_cast<std::int64_t>(number),
-             {{number + 1}, number, result_code::overloaded});
+    recorded_event event;
+    event.time_ms = static_cast<std::int64_t>(number);
+    ring.Add(event);
   }
   CHECK(ring.Dropped() == 100);
   CHECK(ring.EventsAfter(0).size() == 20000);
--- a/Utilities/demo/__main__.py
+++ b/Utilities/demo/__main__.py
@@ -46,6 +46,38 @@
     return command
 
 
+OUTCOMES = ("answered", "not_run", "outcome_unknown", "broken")
+
+
+def read_report(fleet):
+    """The analyst's report from all live admin ports and all logs, as JSON; keeps the HTML page."""
+    admin = ",".join(f"{host}:{layouts.ADMIN_PORT}" for host in fleet.daemon_hosts().values())
+    logs = [fleet.path(f"{name}.log") for name in fleet.daemon_hosts()]
+    run = subprocess.run([f"{fleet.build}/Source/corianderplank", "report", "--json", "--admin", admin,
+                          "--html", fleet.path("report.html"), *logs], capture_output=True, text=True, check=True)
+    with open(fleet.path("report.json"), "w", encoding="utf-8") as out:
+        out.write(run.stdout)
+    return json.loads(run.stdout)
+
+
+def compare_report(fleet, load):
+    """Returns the report's counts, and what is wrong: they must be the load's, unless a process died untold."""
+    report = {}
+
+    def agrees():
+        report.update(read_report(fleet))
+        return all(report[key] == load[key] for key in OUTCOMES)
+
+    try:
+        fleet.wait_for("the report to agree with the load", agrees, 4.0)
+    except RuntimeError:
+        pass
+    counts = {key: report[key] for key in OUTCOMES}
+    wrong = [f"report says {key}={report[key]}, the load counted {load[key]}"
+             for key in OUTCOMES if report[key] != load[key]]
+    return counts, report["gaps"], wrong
+
+
 def run_scenario(arguments, fleet, scenario):
     seconds = arguments.seconds or scenario.load.get("seconds", 10)
     scenario.before_start()
@@ -66,7 +98,14 @@
     disturber.join()
     load.wait(seconds + 120)
     with open(fleet.path("load.json"), encoding="utf-8") as text:
-        result = analysis.analyse(fleet.layout, fleet.folder, json.load(text))
+        counted = json.load(text)
+    result = analysis.analyse(fleet.layout, fleet.folder, counted)
+    result["report"], gaps, differences = compare_report(fleet, counted)
+    result["report_gaps"] = len(gaps)
+    if gaps:
+        result["report_differences"] = differences
+    else:
+        failures += differences
     result["scenario"] = scenario.name
     result["notes"] = {key: str(value) for key, value in scenario.notes.items()}
     failures += scenario.check(result)
@@ -93,6 +132,10 @@
     for key, value in result.items():
         if key.endswith("_s") or key == "restarted":
             print(f"{key:<40}{value}")
+    print(f"{'report':<24}" + " ".join(f"{key}={value}" for key, value in result["report"].items())
+          + f", {result['report_gaps']} gaps")
+    for difference in result.get("report_differences", ()):
+        print(f"  within the gaps: {difference}")
     for name, value in result["notes"].items():
         print(f"  note {name}: {value}")
     for failure in result["failures"]:
