Uploads and feeds wait for the retry budget; refusals in a row suspend a target

Cause: an upload's chunk ended as not run as soon as the retry budget was spent, seconds into a deadline of minutes; the users' bundles may wait but must not vanish. It now asks the budget again after growing waits, until its deadline.

Tried first: patient work outside the budget, then exempt after waits of 5 s.

--- a/Source/command/load_command.cc
+++ b/Source/command/load_command.cc
@@ -36,7 +36,8 @@
       "idempotent", "share of requests that are idempotent", number("0.3"))(
       "service-ms", "mean service time, exponential", number("20"))(
       "timeout-ms", "time that a request may take", number("8000"))(
-      "feed-messages", "messages of a feed", number("60"))(
+      "upload-timeout-ms", "time that a chunk of an upload may take",
+      number("30000"))("feed-messages", "messages of a feed", number("60"))(
       "upload-chunks", "chunks of an upload", number("12"))(
       "loss", "datagrams lost on the way out, in thousandths", number("0"))(
       "duplicates", "datagrams doubled, in thousandths", number("0"))(
@@ -63,6 +64,8 @@
       static_cast<std::int64_t>(number("service-ms") * 1000));
   load.timeout = std::chrono::milliseconds(
       static_cast<std::int64_t>(number("timeout-ms")));
+  load.upload_timeout = std::chrono::milliseconds(
+      static_cast<std::int64_t>(number("upload-timeout-ms")));
   load.feed_messages = static_cast<std::uint32_t>(number("feed-messages"));
   load.upload_chunks = static_cast<std::uint32_t>(number("upload-chunks"));
   return load;
--- a/Source/command/load_plan.h
+++ b/Source/command/load_plan.h
@@ -25,6 +25,7 @@
   double idempotent_share = 0.3;
   std::chrono::microseconds mean_service_time{20000};
   std::chrono::milliseconds timeout{8000};
+  std::chrono::milliseconds upload_timeout{30000};
   std::uint32_t feed_messages = 60;
   std::uint32_t upload_chunks = 12;
   std::uint32_t answer_bytes = 400;
--- a/Source/command/load_run.cc
+++ b/Source/command/load_run.cc
@@ -11,9 +11,7 @@
 /// Chunks of an upload that are under way at a time.
 constexpr std::uint32_t kUploadWindow = 4;
 constexpr std::chrono::seconds kFeedTimeout{3600};
-/// Uploads may wait but must not vanish.
-constexpr std::chrono::seconds kUploadTimeout{120};
-/// How long the run waits for flows after the last arrival.
+/// How long the run waits for flows beyond the time that an upload may take.
 constexpr std::chrono::seconds kFinishLimit{45};
 
 const char* KindName(work_kind work) {
@@ -67,7 +65,8 @@
   ended_.clear();
   caller_.Flush();
   const bool past = Elapsed() >= options_.duration;
-  const bool late = Elapsed() >= options_.duration + kFinishLimit;
+  const bool late =
+      Elapsed() >= options_.duration + options_.upload_timeout + kFinishLimit;
   if (past && (open_.empty() || late)) {
     loop_.Stop();
   }
@@ -110,7 +109,7 @@
     flow.expected[order.request_id] = AnswerTo(order);
   }
   if (spec.work == work_kind::upload) {
-    spec.timeout = kUploadTimeout;
+    spec.timeout = options_.upload_timeout;
     spec.position = flow.submitted;
   }
   ++flow.submitted;
--- a/Source/command/report_summary.cc
+++ b/Source/command/report_summary.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::int64_t kMsPerSecond = 1000;
+/// Mean busy share below which a second says nothing about balance.
+constexpr double kIdleShare = 0.02;
 
 outcome_kind OutcomeOfReason(const std::string& reason) {
   for (const result_code_entry& entry : ResultCodeTable()) {
@@ -98,7 +100,7 @@
       for (const double value : values) {
         sum += value;
       }
-      if (sum <= 0) {
+      if (sum < kIdleShare * static_cast<double>(values.size())) {
         continue;
       }
       const double highest = *std::max_element(values.begin(), values.end());
--- a/Source/core/backend_monitor.cc
+++ b/Source/core/backend_monitor.cc
@@ -9,6 +9,8 @@
 
 /// Failures in a row after which a backend server is suspended.
 constexpr std::uint32_t kFailuresToSuspend = 3;
+/// Refusals in a row, with no answer between them.
+constexpr std::uint32_t kShedsToSuspend = 5;
 constexpr auto kFirstSuspension = 1s;
 constexpr std::uint32_t kMaxDoublings = 3;
 /// Handicap right after the backend server refused work; it fades.
@@ -21,12 +23,16 @@
   switch (status) {
     case execution_status::completed:
       failures_ = 0;
+      sheds_ = 0;
       suspensions_ = 0;
       return;
     case execution_status::shed:
       has_shed_ = true;
       shed_at_ = now;
       failures_ = 0;
+      if (++sheds_ >= kShedsToSuspend) {
+        Suspend(now);
+      }
       return;
     case execution_status::unreachable:
     case execution_status::lost:
@@ -37,6 +43,10 @@
   }
   // One more failure after the suspension is enough for the next.
   failures_ = kFailuresToSuspend - 1;
+  Suspend(now);
+}
+
+void backend_monitor::Suspend(time_point now) {
   const std::uint32_t doublings = std::min(suspensions_++, kMaxDoublings);
   suspended_until_ = now + kFirstSuspension * (1U << doublings);
 }
--- a/Source/core/backend_monitor.h
+++ b/Source/core/backend_monitor.h
@@ -24,7 +24,10 @@
   std::uint32_t HandicapPermille(time_point now) const;
 
  private:
+  void Suspend(time_point now);
+
   std::uint32_t failures_ = 0;
+  std::uint32_t sheds_ = 0;
   std::uint32_t suspensions_ = 0;
   time_point suspended_until_;
   time_point shed_at_;
--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -22,6 +22,9 @@
 constexpr auto kOpenLimit = 30s;
 constexpr auto kPingPeriod = 8s;
 constexpr int kMaxTries = 6;
+/// Longest wait of an upload or a feed that was refused.
+constexpr milliseconds kLongestWait = 5000ms;
+constexpr int kMaxWaitDoublings = 6;
 /// Times that a verdict is sent before the flow stops telling it.
 constexpr int kMaxVerdictSends = 8;
 
@@ -106,13 +109,28 @@
   }
   packet open = Header(packet_kind::open);
   open.sequence = next_sequence_;
+  open.code = resume_reason_;
   next_open_ = now + Jitter(Backoff(open_sends_));
   effects_.Send(open);
 }
 
+bool caller_flow::MayRepeat(time_point now, pending_request& request) {
+  if (!request.owes_budget) {
+    return true;
+  }
+  if (!budget_.TakeRetry()) {
+    request.wait = std::min(request.wait * 2, kLongestWait);
+    request.next_send = now + request.wait;
+    return false;
+  }
+  request.owes_budget = false;
+  counters_.Add(result_code::retried_after_refusal);
+  return true;
+}
+
 void caller_flow::SendUnsent(time_point now) {
   for (pending_request& request : pending_) {
-    if (request.token || request.next_send > now) {
+    if (request.token || request.next_send > now || !MayRepeat(now, request)) {
       continue;
     }
     if (next_sequence_ - OldestSequence() >= kWindowSize) {
@@ -335,8 +353,21 @@
 
 bool caller_flow::MayRetry(time_point now,
                            const pending_request& request) const {
-  return !request.cancelling && request.tries < kMaxTries &&
-         request.deadline > now;
+  const bool tries_left = IsPatient(request) || request.tries < kMaxTries;
+  return !request.cancelling && tries_left && request.deadline > now;
+}
+
+bool caller_flow::IsPatient(const pending_request& request) {
+  return request.spec.work != work_kind::request;
+}
+
+milliseconds caller_flow::RetryWait(const pending_request& request,
+                                    milliseconds suggested) {
+  if (!IsPatient(request)) {
+    return Jitter(suggested);
+  }
+  const int doublings = std::clamp(request.tries - 1, 0, kMaxWaitDoublings);
+  return Jitter(std::min(suggested * (1 << doublings), kLongestWait));
 }
 
 void caller_flow::OnRequestRefused(time_point now,
@@ -357,17 +388,22 @@
   if (IsPlannedMove(value.code)) {
     --request->tries;
   } else {
-    if (!budget_.TakeRetry()) {
+    // Patient work waits for its turn and asks the budget then.
+    if (!IsPatient(*request) && !budget_.TakeRetry()) {
       Finish(now, request,
              outcome == outcome_kind::not_run ? result_code::retry_budget_spent
                                               : value.code);
       return;
     }
-    counters_.Add(result_code::retried_after_refusal);
+    if (!IsPatient(*request)) {
+      counters_.Add(result_code::retried_after_refusal);
+    }
   }
   Renew(now, *request);
   if (!IsPlannedMove(value.code)) {
-    request->next_send = now + Jitter(value.time);
+    request->owes_budget = IsPatient(*request);
+    request->wait = RetryWait(*request, value.time);
+    request->next_send = now + request->wait;
   }
   if (state_ == caller_state::open && token_ && *token_ == refused_by) {
     StartResume(now, IsPlannedMove(value.code)
@@ -381,6 +417,7 @@
     counters_.Add(reason);
   }
   state_ = caller_state::resuming;
+  resume_reason_ = reason;
   search_attempt_ = attempt_ + 1;
   opening_since_ = now;
   open_sends_ = 0;
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -121,6 +121,10 @@
     bool has_progress = false;
     /// It may have run under an earlier token.
     bool in_doubt = false;
+    /// It was refused and must ask the budget before it is sent again.
+    bool owes_budget = false;
+    /// How long it waits for the present retry.
+    std::chrono::milliseconds wait{0};
     int sends = 0;
     int tries = 0;
     time_point submitted_at;
@@ -148,6 +152,7 @@
   void SendOpen(time_point now);
   void SendRequest(time_point now, pending_request& request);
   void SendAcknowledge(const pending_request& request);
+  bool MayRepeat(time_point now, pending_request& request);
   void SendUnsent(time_point now);
   void OnOpened(time_point now, const packet& value);
   void MoveToToken(time_point now, const packet& value, flow_token old);
@@ -159,6 +164,10 @@
                         const packet& value);
   void Renew(time_point now, pending_request& request);
   bool MayRetry(time_point now, const pending_request& request) const;
+  /// Uploads and feeds may wait; they are tried until their deadline.
+  static bool IsPatient(const pending_request& request);
+  std::chrono::milliseconds RetryWait(const pending_request& request,
+                                      std::chrono::milliseconds suggested);
   void StartResume(time_point now, result_code reason);
   void TickOpening(time_point now);
   void TickRequest(time_point now, pending_list::iterator request);
@@ -188,6 +197,7 @@
   time_point heard_at_;
   time_point next_ping_;
   result_code open_refusal_ = result_code::open_timeout;
+  result_code resume_reason_ = result_code::answered;
   pending_list pending_;
   std::list<pending_verdict> verdicts_;
 };
--- a/Source/core/open_processor.cc
+++ b/Source/core/open_processor.cc
@@ -32,7 +32,7 @@
   }
   if (known != nullptr) {
     // The flow left this agent and its last answers are still kept here.
-    RefuseOpen(header, value, result_code::no_target);
+    RefuseOpen(header, value, result_code::fenced);
     return;
   }
   if (state_.flows.Size() >= state_.settings.connections) {
@@ -189,8 +189,9 @@
   ++state_.reserved;
   requests_.UpdateLoad(now);
   if (value.token) {
-    const result_code reason = fence.found ? result_code::resumed_for_drain
-                                           : result_code::resumed_for_silence;
+    const bool told = OutcomeOf(value.code) == outcome_kind::retried;
+    const result_code reason =
+        told ? value.code : result_code::resumed_for_silence;
     state_.counted.Add(reason);
     state_.effects.RecordEvent({flow.id, 0, reason});
   }
--- a/Source/core/packet.h
+++ b/Source/core/packet.h
@@ -80,6 +80,7 @@
   bool fenced = false;
   /// In answer: no fragment follows.
   bool last = false;
+  /// In open: why the flow moves, if it does. In refused: why.
   result_code code = result_code::answered;
   /// In request: time left. In refused: when to try again.
   std::chrono::milliseconds time{0};
--- a/Tests/core/module_test.cc
+++ b/Tests/core/module_test.cc
@@ -211,6 +211,12 @@
   monitor.OnResult(kStart + 6s, execution_status::shed);
   CHECK(monitor.HandicapPermille(kStart + 6s) == 1000);
   CHECK(monitor.HandicapPermille(kStart + 7s) == 0);
+  for (int refusal = 0; refusal < 3; ++refusal) {
+    monitor.OnResult(kStart + 8s, execution_status::shed);
+  }
+  CHECK_FALSE(monitor.IsSuspended(kStart + 8s));
+  monitor.OnResult(kStart + 8s, execution_status::shed);
+  CHECK(monitor.IsSuspended(kStart + 8s));
 }
 
 TEST_CASE("retries stay within a share of the first tries") {
--- a/Utilities/demo/fleet.py
+++ b/Utilities/demo/fleet.py
@@ -29,6 +29,9 @@
         self.folder = folder
         self.impairment = impairment or {}
         self.processes = {}
+        for name in os.listdir(folder):  # What an earlier run left in a kept folder.
+            if name.endswith((".log", ".jsonl", ".toml", ".json", ".html")):
+                os.remove(os.path.join(folder, name))
         self.revision = 1
         self.instances_version = 1
         self.starts = {}
