Resumed flows outlive a reservation; the load waits until its verdicts are noted

Cause: a flow that was resumed while its work waited for the retry budget was held as a plain reservation and expired after 5 s. The work was then sent to an agent that no longer knew the flow, and was in doubt.

--- a/Source/caller/udp_caller.cc
+++ b/Source/caller/udp_caller.cc
@@ -1,5 +1,7 @@
 #include "caller/udp_caller.h"
 
+#include <algorithm>
+
 namespace corianderplank {
 namespace {
 
@@ -90,6 +92,12 @@
   }
 }
 
+bool udp_caller::HasVerdicts() const {
+  return std::any_of(flows_.begin(), flows_.end(), [](const auto& item) {
+    return item.second->flow.HasVerdicts();
+  });
+}
+
 void udp_caller::Flush() {
   socket_->Flush();
 }
--- a/Source/caller/udp_caller.h
+++ b/Source/caller/udp_caller.h
@@ -68,6 +68,9 @@
   /// @param flow the flow.
   void Close(flow_id flow);
 
+  /// @return whether an entry has yet to note how some work ended.
+  bool HasVerdicts() const;
+
   /// Sends what is queued.
   void Flush();
 
--- a/Source/command/load_run.cc
+++ b/Source/command/load_run.cc
@@ -56,6 +56,11 @@
   totals_.unfinished_flows = open_.size();
 }
 
+int load_run::UploadRounds() const {
+  return static_cast<int>((options_.upload_chunks + kUploadWindow - 1) /
+                          kUploadWindow);
+}
+
 void load_run::Tick() {
   OpenDue();
   for (const flow_id flow : ended_) {
@@ -65,9 +70,10 @@
   ended_.clear();
   caller_.Flush();
   const bool past = Elapsed() >= options_.duration;
-  const bool late =
-      Elapsed() >= options_.duration + options_.upload_timeout + kFinishLimit;
-  if (past && (open_.empty() || late)) {
+  const bool late = Elapsed() >= options_.duration + kFinishLimit +
+                                     UploadRounds() * options_.upload_timeout;
+  const bool done = open_.empty() && !caller_.HasVerdicts();
+  if (past && (done || late)) {
     loop_.Stop();
   }
 }
--- a/Source/command/load_run.h
+++ b/Source/command/load_run.h
@@ -76,6 +76,8 @@
   void CheckAnswer(open_flow& flow, const request_outcome& outcome);
   void WriteOutcome(const open_flow& flow, const request_outcome& outcome);
   std::chrono::microseconds Elapsed() const;
+  /// @return how many chunks of an upload follow each other at the most.
+  int UploadRounds() const;
 
   load_options options_;
   load_plan plan_;
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -108,6 +108,8 @@
   std::size_t Unfinished() const {
     return state_ == caller_state::closed ? 0 : pending_.size();
   }
+  /// @return whether an entry has yet to note how work ended.
+  bool HasVerdicts() const { return !verdicts_.empty(); }
   /// @return the agent's target, 0 before the first token.
   target_id Target() const { return token_ ? token_->target : target_id{}; }
 
--- a/Source/core/open_processor.cc
+++ b/Source/core/open_processor.cc
@@ -66,7 +66,7 @@
   }
   // The flow comes from another agent by now: what is known here about the
   // earlier one must not be taken for that.
-  if (known.state == flow_state::reserved) {
+  if (known.requests.empty()) {
     requests_.Abandon(known);
     state_.flows.Remove(value.flow);
   } else {
@@ -186,7 +186,12 @@
   flow.resume_fenced = fence.found;
   flow.resume_started = fence.started;
   flow.resume_oldest = value.oldest_sequence;
-  ++state_.reserved;
+  if (value.token) {
+    // Its work may wait for a retry, longer than a reservation lasts.
+    flow.state = flow_state::open;
+  } else {
+    ++state_.reserved;
+  }
   requests_.UpdateLoad(now);
   if (value.token) {
     const bool told = OutcomeOf(value.code) == outcome_kind::retried;
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -161,6 +161,22 @@
   CHECK(bench.effects.fences[1].token == TokenOf(1, 7));
 }
 
+TEST_CASE("a resumed flow outlives a reservation while its work waits") {
+  agent_bench bench(2);
+  time_point now = kStart;
+  bench.core.Tick(now);
+  bench.Open(7, 2, TokenOf(0, 7));
+  bench.core.OnFenceReply(now, bench.effects.fence_ids[0], {true, 0});
+  bench.Open(8, 1);
+  for (int step = 0; step < 100; ++step) {
+    now += 100ms;
+    bench.core.Tick(now);
+  }
+  // The plain reservation of flow 8 has expired, the resumed flow has not.
+  CHECK(bench.core.Summary().flows == 1);
+  CHECK(bench.core.Summary().load_permille == 0);
+}
+
 TEST_CASE("an open repeated within one resumption gets the same answer") {
   agent_bench bench(2);
   bench.Open(7, 2, TokenOf(0, 7));
--- a/Utilities/demo/__main__.py
+++ b/Utilities/demo/__main__.py
@@ -93,7 +93,7 @@
 
     load = subprocess.Popen(load_command(arguments, fleet, scenario, seconds), stdout=subprocess.DEVNULL)
     fleet.processes["load"] = load
-    disturber = threading.Thread(target=disturb)
+    disturber = threading.Thread(target=disturb, daemon=True)
     disturber.start()
     disturber.join()
     load.wait(seconds + 120)
--- a/Utilities/demo/fleet.py
+++ b/Utilities/demo/fleet.py
@@ -35,11 +35,14 @@
         self.revision = 1
         self.instances_version = 1
         self.starts = {}
+        self.stopping = False
 
     def path(self, name):
         return os.path.join(self.folder, name)
 
     def spawn(self, name, arguments):
+        if self.stopping:
+            raise RuntimeError("the set-up is being stopped")
         self.starts[name] = self.starts.get(name, 0) + 1
         log = open(self.path(f"{name}.log"), "ab")
         self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
@@ -168,6 +171,7 @@
         self.processes[name].wait(limit)
 
     def stop_all(self):
+        self.stopping = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
