Defaults for a service's targets in the document; the demo runs at a third of the slots

Cause: a document of 5,000 targets behind 1,200 services had 1,132,038 bytes, above the platform's megabyte. Targets may leave out what their service says.

--- a/Source/product/document_parser.cc
+++ b/Source/product/document_parser.cc
@@ -1,6 +1,6 @@
 #include "product/document_parser.h"
 
-#include <map>
+#include <optional>
 #include <set>
 
 #include <nlohmann/json.hpp>
@@ -50,30 +50,82 @@
   return result;
 }
 
+/// What a service's targets have unless they say otherwise. A document of
+/// thousands of targets stays below the platform's limit by it.
+struct target_defaults {
+  std::optional<std::int64_t> slots;
+  std::optional<std::int64_t> connections;
+  std::uint16_t agent_port = 0;
+  std::uint16_t control_port = 0;
+  std::uint16_t backend_port = 0;
+};
+
+std::optional<std::int64_t> ReadDefault(toml_section& section,
+                                        const std::string& key,
+                                        std::int64_t highest) {
+  if (!section.Has(key)) {
+    return std::nullopt;
+  }
+  return section.Number(key, 1, highest);
+}
+
+target_defaults ReadDefaults(toml_section section) {
+  target_defaults result;
+  const auto port = [&](const char* key) {
+    return static_cast<std::uint16_t>(section.NumberOr(key, 0, 1, kMaxPort));
+  };
+  result.slots = ReadDefault(section, "slots", kMaxSlots);
+  result.connections = ReadDefault(section, "connections", kMaxConnections);
+  result.agent_port = port("agent_port");
+  result.control_port = port("control_port");
+  result.backend_port = port("backend_port");
+  section.Finish();
+  return result;
+}
+
+std::uint32_t NumberOrDefault(toml_section& section,
+                              const std::string& key,
+                              const std::optional<std::int64_t>& fallback,
+                              std::int64_t highest) {
+  return static_cast<std::uint32_t>(
+      fallback ? section.NumberOr(key, *fallback, 1, highest)
+               : section.Number(key, 1, highest));
+}
+
+/// Reads an address, or makes it of the target's host and a default port.
 endpoint ReadAddress(toml_section& section,
                      const std::string& key,
-                     uniqueness& seen) {
-  const endpoint address = section.Address(key);
-  if (address.IsValid() && !seen.addresses.insert(address).second) {
-    section.Reject(key, "an address that no other target has");
+                     std::uint16_t default_port) {
+  if (section.Has(key) || !section.Has("host") || default_port == 0) {
+    return section.Address(key);
+  }
+  const endpoint made =
+      ParseEndpoint(section.Text("host") + ":" + std::to_string(default_port));
+  if (!made.IsValid()) {
+    section.Reject("host", "an IPv4 address, \"127.0.0.1\"");
   }
-  return address;
+  return made;
 }
 
-target ReadTarget(toml_section section, uniqueness& seen) {
+target ReadTarget(toml_section section,
+                  const target_defaults& defaults,
+                  uniqueness& seen) {
   target result;
   result.name = section.Text("name");
   result.id = TargetIdOf(result.name);
   result.failure_domain = section.Text("failure_domain");
-  result.agent = ReadAddress(section, "agent", seen);
-  result.control = section.Address("control");
-  result.backend = section.Address("backend");
-  result.slots =
-      static_cast<std::uint32_t>(section.Number("slots", 1, kMaxSlots));
-  result.connections = static_cast<std::uint32_t>(
-      section.Number("connections", 1, kMaxConnections));
+  result.agent = ReadAddress(section, "agent", defaults.agent_port);
+  result.control = ReadAddress(section, "control", defaults.control_port);
+  result.backend = ReadAddress(section, "backend", defaults.backend_port);
+  result.slots = NumberOrDefault(section, "slots", defaults.slots, kMaxSlots);
+  result.connections = NumberOrDefault(section, "connections",
+                                       defaults.connections, kMaxConnections);
   result.weight =
       static_cast<std::uint32_t>(section.NumberOr("weight", 1, 1, kMaxWeight));
+  if (result.agent.IsValid() && !seen.addresses.insert(result.agent).second) {
+    section.Reject(section.Has("agent") ? "agent" : "host",
+                   "an address that no other target has");
+  }
   if (!result.name.empty() && !seen.targets.insert(result.name).second) {
     section.Reject("name", "a name that no other target has");
   }
@@ -103,8 +155,10 @@
     section.Reject("class",
                    "at most " + std::to_string(kMaxClasses) + " classes");
   }
+  const target_defaults defaults =
+      ReadDefaults(section.Table("target_defaults"));
   for (toml_section& item : section.Tables("target", true)) {
-    result.targets.push_back(ReadTarget(item, seen));
+    result.targets.push_back(ReadTarget(item, defaults, seen));
   }
   section.Finish();
   return result;
--- a/Source/product/toml_reader.cc
+++ b/Source/product/toml_reader.cc
@@ -136,6 +136,10 @@
   return parsed;
 }
 
+bool toml_section::Has(const std::string& key) const {
+  return node_->table != nullptr && node_->table->contains(key);
+}
+
 std::vector<endpoint> toml_section::Addresses(const std::string& key) {
   std::vector<endpoint> result;
   const toml::node* value = node_->Take(key);
--- a/Source/product/toml_reader.h
+++ b/Source/product/toml_reader.h
@@ -67,6 +67,9 @@
   /// @param key a key that must be there.
   /// @return the endpoint, not valid after an error.
   endpoint Address(const std::string& key);
+  /// @param key a key.
+  /// @return whether it is there.
+  bool Has(const std::string& key) const;
   /// @param key a key that may be missing.
   /// @return its endpoints.
   std::vector<endpoint> Addresses(const std::string& key);
--- a/Tests/product/product_test.cc
+++ b/Tests/product/product_test.cc
@@ -63,6 +63,48 @@
   CHECK(item->slots == 4);
 }
 
+TEST_CASE("targets take what they leave out from their service") {
+  const std::string text = R"(environment = "e"
+[[service]]
+name = "s"
+port = 1
+[[service.class]]
+name = "c"
+[service.target_defaults]
+agent_port = 6000
+control_port = 6001
+backend_port = 8000
+slots = 4
+connections = 2000
+[[service.target]]
+name = "a"
+failure_domain = "d"
+host = "127.0.2.1"
+[[service.target]]
+name = "b"
+failure_domain = "d"
+host = "127.0.2.2"
+backend = "127.0.2.2:9000"
+slots = 7
+)";
+  const parsed_document parsed = ParseDocument("file", text, {1});
+  REQUIRE(parsed.errors.empty());
+  const auto& targets = parsed.document.services[0].targets;
+  CHECK(targets[0].agent == ParseEndpoint("127.0.2.1:6000"));
+  CHECK(targets[0].control == ParseEndpoint("127.0.2.1:6001"));
+  CHECK(targets[0].slots == 4);
+  CHECK(targets[1].backend == ParseEndpoint("127.0.2.2:9000"));
+  CHECK(targets[1].slots == 7);
+  const parsed_document bad =
+      ParseDocument("file",
+                    text +
+                        "[[service.target]]\nname = \"c\"\nfailure_domain = "
+                        "\"d\"\nhost = \"127.0.2.2\"\n",
+                    {1});
+  REQUIRE(bad.errors.size() == 1);
+  CHECK(bad.errors[0].key == "service[0].target[2].host");
+}
+
 TEST_CASE("instance lists are read and malformed ones refused") {
   const auto list = ParseInstances(
       R"({"version":3,"instances":[{"name":"a","role":"agent","service":"s",
--- a/Utilities/demo/__main__.py
+++ b/Utilities/demo/__main__.py
@@ -34,7 +34,8 @@
     document = fleet.path("document.toml")
     with open(document, "w", encoding="utf-8") as out:
         out.write(layouts.document_text(fleet.layout))
-    options = {"rate": 60, "seconds": seconds}
+    # About a third of the slots for requests and a half of those for uploads.
+    options = {"rate": 120, "seconds": seconds, "requests": 0.81, "feeds": 0.15, "uploads": 0.04, "service-ms": 100}
     options.update({key: value for key, value in scenario.load.items() if key != "seconds"})
     options.update(item.split("=", 1) for item in arguments.load)
     command = [f"{fleet.build}/Source/corianderplank", "load", "--document", document,
--- a/Utilities/demo/layout.py
+++ b/Utilities/demo/layout.py
@@ -103,15 +103,13 @@
         for item in service.classes:
             lines += ["  [[service.class]]", f'  name = "{item.name}"', f'  work = "{item.work}"',
                       f"  weight = {item.weight}", f"  max_share = {item.max_share}"]
+        lines += ["[service.target_defaults]", f"agent_port = {DATA_PORT}", f"control_port = {CONTROL_PORT}",
+                  f"backend_port = {BACKEND_PORT}", f"slots = {service.targets[0].slots}", "connections = 2000"]
         for target in service.targets:
             if target.name in without:
                 continue
-            lines += ["  [[service.target]]", f'  name = "{target.name}"',
-                      f'  failure_domain = "{target.failure_domain}"',
-                      f'  agent = "{target.host}:{DATA_PORT}"',
-                      f'  control = "{target.host}:{CONTROL_PORT}"',
-                      f'  backend = "{target.host}:{BACKEND_PORT}"',
-                      f"  slots = {target.slots}", "  connections = 2000"]
+            lines += ["[[service.target]]", f'name = "{target.name}"', f'host = "{target.host}"',
+                      f'failure_domain = "{target.failure_domain}"']
     return "\n".join(lines) + "\n"
 
 
--- a/Utilities/demo/scenarios.py
+++ b/Utilities/demo/scenarios.py
@@ -293,7 +293,7 @@
     name = "lossy"
     impairment = {"loss_permille": 10, "duplicate_permille": 10, "reorder_permille": 20, "seed": 5}
     load = {"loss": 10, "duplicates": 10, "reorder": 20, "rate": 170, "feed-messages": 150, "feeds": 0.4,
-            "requests": 0.5, "uploads": 0.1}
+            "requests": 0.5, "uploads": 0.1, "service-ms": 20}
 
 
 class Storm(Scenario):
