--- a/Source/command/report_printer.cc
+++ b/Source/command/report_printer.cc
@@ -262,7 +262,8 @@
   out << "\nimbalance (highest over mean of the busy share, windows of 1 s):\n";
   for (const imbalance_summary& item : summary.imbalance) {
     out << "  " << item.service << ": mean " << item.mean
-        << ", 99th percentile " << item.high << '\n';
+        << ", 99th percentile " << item.high << "; open feeds: mean "
+        << item.feeds_mean << '\n';
   }
   out << "\ndocuments in force:\n";
   for (const report_revision& item : summary.revisions) {
@@ -300,8 +301,10 @@
   page["retries"] = summary.retries;
   page["imbalance"] = json::array();
   for (const imbalance_summary& item : summary.imbalance) {
-    page["imbalance"].push_back(
-        {{"service", item.service}, {"mean", item.mean}, {"p99", item.high}});
+    page["imbalance"].push_back({{"service", item.service},
+                                 {"mean", item.mean},
+                                 {"p99", item.high},
+                                 {"feeds_mean", item.feeds_mean}});
   }
   page["revisions"] = json::array();
   for (const report_revision& item : summary.revisions) {
--- a/Source/command/report_summary.cc
+++ b/Source/command/report_summary.cc
@@ -84,6 +84,42 @@
   }
 }
 
+/// @return highest over mean, 0 when the mean is 0.
+double RatioOf(const std::vector<double>& values) {
+  double sum = 0;
+  for (const double value : values) {
+    sum += value;
+  }
+  const double highest = *std::max_element(values.begin(), values.end());
+  return sum <= 0 ? 0 : highest * static_cast<double>(values.size()) / sum;
+}
+
+/// Fewer feeds than targets say nothing about balance.
+double FeedImbalance(const report_data& data,
+                     const report_summary& summary,
+                     const std::string& service) {
+  std::map<std::int64_t, std::vector<double>> seconds;
+  for (const report_load& load : data.loads) {
+    if (load.service == service &&
+        InRange(summary, load.second * kMsPerSecond)) {
+      seconds[load.second].push_back(load.feeds);
+    }
+  }
+  double total = 0;
+  std::size_t counted = 0;
+  for (const auto& [second, values] : seconds) {
+    double feeds = 0;
+    for (const double value : values) {
+      feeds += value;
+    }
+    if (feeds >= static_cast<double>(values.size())) {
+      total += RatioOf(values);
+      ++counted;
+    }
+  }
+  return counted == 0 ? 0 : total / static_cast<double>(counted);
+}
+
 void AddImbalance(const report_data& data, report_summary& summary) {
   std::map<std::string, std::map<std::int64_t, std::vector<double>>> shares;
   for (const report_load& load : data.loads) {
@@ -103,8 +139,7 @@
       if (sum < kIdleShare * static_cast<double>(values.size())) {
         continue;
       }
-      const double highest = *std::max_element(values.begin(), values.end());
-      const double ratio = highest * static_cast<double>(values.size()) / sum;
+      const double ratio = RatioOf(values);
       item.by_second[second] = ratio;
       ratios.push_back(ratio);
       item.mean += ratio;
@@ -114,6 +149,7 @@
     }
     std::sort(ratios.begin(), ratios.end());
     item.mean /= static_cast<double>(ratios.size());
+    item.feeds_mean = FeedImbalance(data, summary, service);
     item.high = ratios[std::min(ratios.size() - 1, ratios.size() * 99 / 100)];
     summary.imbalance.push_back(std::move(item));
   }
--- a/Source/command/report_summary.h
+++ b/Source/command/report_summary.h
@@ -24,6 +24,8 @@
   std::string service;
   double mean = 0;
   double high = 0;  ///< 99th percentile.
+  /// Mean over the seconds of highest over mean of the open feeds; 0 if none.
+  double feeds_mean = 0;
   /// Highest over mean of the busy share, by second since 1970.
   std::map<std::int64_t, double> by_second;
 };
--- a/Utilities/demo/__main__.py
+++ b/Utilities/demo/__main__.py
@@ -103,6 +103,9 @@
     result = analysis.analyse(fleet.layout, fleet.folder, counted)
     result["report"], gaps, differences = compare_report(fleet, counted)
     result["report_gaps"] = len(gaps)
+    with open(fleet.path("report.json"), encoding="utf-8") as text:
+        for row in json.load(text)["imbalance"]:
+            result["imbalance"][row["service"]]["feeds"] = round(row["feeds_mean"], 3)
     if gaps:
         result["report_differences"] = differences
     else:
@@ -129,7 +132,7 @@
     for kind, row in result["latency"].items():
         print(f"{kind + ' latency':<24}p50 {row['p50_us'] / 1000:.1f} ms  p99 {row['p99_us'] / 1000:.1f} ms")
     for name, row in result["imbalance"].items():
-        print(f"{'imbalance ' + name:<32}mean {row['mean']}  p99 {row['p99']}")
+        print(f"{'imbalance ' + name:<32}mean {row['mean']}  p99 {row['p99']}  open feeds {row.get('feeds', 0)}")
     for key, value in result.items():
         if key.endswith("_s") or key == "restarted":
             print(f"{key:<40}{value}")
--- a/Utilities/demo/scenarios.py
+++ b/Utilities/demo/scenarios.py
@@ -188,6 +188,32 @@
         return [f"a document was in force only after {result['in_force_s']} s"] if late else []
 
 
+class DomainKill(Scenario):
+    """Everything in one failure domain dies at once and comes back later."""
+
+    name = "domain-kill"
+    zero = ("broken",)
+
+    def disturb(self, seconds):
+        fleet = self.fleet
+        domain = self.pick_entry().failure_domain
+        self.notes["domain"] = domain
+        entries = [entry for entry in fleet.layout.entries if entry.failure_domain == domain]
+        targets = [target for target in fleet.layout.targets() if target.failure_domain == domain]
+        time.sleep(seconds / 3)
+        for target in targets:
+            fleet.kill(target.name)
+            fleet.kill(f"backend-{target.name}")
+        for entry in entries:
+            fleet.kill(entry.name)
+        time.sleep(seconds / 3)
+        for target in targets:
+            fleet.start_backend(target)
+            fleet.start_agent(target)
+        for entry in entries:
+            fleet.start_entry(entry)
+
+
 class Freeze(Scenario):
     """An entry, an agent and a backend server sleep, one after the other, and wake up."""
 
@@ -384,5 +410,5 @@
 
 
 SCENARIOS = {kind.name: kind for kind in (
-    Scenario, EntryKill, AgentKill, BackendKill, BackendDrain, RollingRestart, PlatformOutage, PlatformLimit, Freeze, Partition,
+    Scenario, EntryKill, DomainKill, AgentKill, BackendKill, BackendDrain, RollingRestart, PlatformOutage, PlatformLimit, Freeze, Partition,
     DocumentRace, LyingHealth, Overload, Lossy, Storm)}
