--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -9,8 +9,6 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kFirstRepeat = 80ms;
-constexpr milliseconds kLongestRepeat = 800ms;
 /// Repeat of a request that the agent has confirmed.
 constexpr milliseconds kConfirmedRepeat = 500ms;
 /// Silence after which a flow looks for another target.
@@ -22,16 +20,6 @@
 constexpr auto kOpenLimit = 30s;
 constexpr auto kPingPeriod = 8s;
 constexpr int kMaxTries = 6;
-/// Longest wait of an upload or a feed that was refused.
-constexpr milliseconds kLongestWait = 5000ms;
-constexpr int kMaxWaitDoublings = 6;
-/// Times that a verdict is sent before the flow stops telling it.
-constexpr int kMaxVerdictSends = 8;
-
-milliseconds Backoff(int sends) {
-  const int doublings = std::clamp(sends - 1, 0, 4);
-  return std::min(kFirstRepeat * (1 << doublings), kLongestRepeat);
-}
 
 bool IsPlannedMove(result_code code) {
   return code == result_code::draining || code == result_code::fenced;
@@ -48,12 +36,8 @@
       flow_(flow),
       effects_(effects),
       budget_(budget),
-      counters_(counters) {}
-
-milliseconds caller_flow::Jitter(milliseconds base) {
-  const std::uint64_t draw = MixHash(flow_.value, ++jitter_draws_) % 512;
-  return base * static_cast<int>(768 + draw) / 1024;
-}
+      counters_(counters),
+      jitter_(flow) {}
 
 packet caller_flow::Header(packet_kind kind) const {
   packet value;
@@ -110,7 +94,7 @@
   packet open = Header(packet_kind::open);
   open.sequence = next_sequence_;
   open.code = resume_reason_;
-  next_open_ = now + Jitter(Backoff(open_sends_));
+  next_open_ = now + jitter_.Spread(RepeatWait(open_sends_));
   effects_.Send(open);
 }
 
@@ -119,7 +103,7 @@
     return true;
   }
   if (!budget_.TakeRetry()) {
-    request.wait = std::min(request.wait * 2, kLongestWait);
+    request.wait = std::min(request.wait * 2, kLongestRetryWait);
     request.next_send = now + request.wait;
     return false;
   }
@@ -151,26 +135,11 @@
     counters_.Add(result_code::request_repeated);
   }
   const milliseconds repeat =
-      request.has_progress ? kConfirmedRepeat : Backoff(request.sends);
-  request.next_send = now + Jitter(repeat);
+      request.has_progress ? kConfirmedRepeat : RepeatWait(request.sends);
+  request.next_send = now + jitter_.Spread(repeat);
   packet value =
       Header(request.cancelling ? packet_kind::cancel : packet_kind::request);
-  value.token = request.token;
-  value.sequence = request.sequence;
-  value.request_id = request.spec.request_id;
-  value.work = request.spec.work;
-  value.traffic_class = request.spec.traffic_class;
-  value.idempotent = request.spec.idempotent;
-  value.position = request.next_position;
-  const std::uint64_t received = request.next_position - request.spec.position;
-  value.count = request.spec.count == 0
-                    ? 0
-                    : request.spec.count - static_cast<std::uint32_t>(received);
-  if (!request.cancelling) {
-    value.time =
-        std::max(1ms, std::chrono::ceil<milliseconds>(request.deadline - now));
-    value.payload = request.spec.payload;
-  }
+  request.Fill(now, value);
   effects_.Send(value);
 }
 
@@ -185,9 +154,7 @@
 
 void caller_flow::OnPacket(time_point now, const packet& value) {
   if (value.kind == packet_kind::noted) {
-    std::erase_if(verdicts_, [&](const pending_verdict& item) {
-      return item.request_id == value.request_id;
-    });
+    verdicts_.OnNoted(value.request_id);
     return;
   }
   if (state_ == caller_state::closed) {
@@ -266,12 +233,11 @@
     const bool is_feed = current->spec.work == work_kind::feed;
     current->in_doubt |= started && !value.fenced && !is_feed;
     if (is_feed || !started) {
-      Renew(now, *current);
+      current->Renew(now);
     } else if (value.fenced) {
       current->next_send = now;  // Its answer still comes from the old agent.
-    } else if (current->spec.idempotent ||
-               current->spec.work == work_kind::upload) {
-      Renew(now, *current);
+    } else if (current->IsRepeatable()) {
+      current->Renew(now);
     } else {
       Finish(now, current, result_code::target_lost);
       if (state_ == caller_state::closed) {
@@ -281,14 +247,6 @@
   }
 }
 
-void caller_flow::Renew(time_point now, pending_request& request) {
-  request.token.reset();
-  request.sends = 0;
-  request.next_send = now;
-  request.assembly = answer_assembly();
-  request.answer.clear();
-}
-
 void caller_flow::OnAnswer(time_point now, const packet& value) {
   const auto request = FindSequence(value.sequence);
   if (request == pending_.end()) {
@@ -348,35 +306,21 @@
     return;
   }
   open_refusal_ = value.code;
-  next_open_ = now + Jitter(value.time);
+  next_open_ = now + jitter_.Spread(value.time);
 }
 
 bool caller_flow::MayRetry(time_point now,
                            const pending_request& request) const {
-  const bool tries_left = IsPatient(request) || request.tries < kMaxTries;
+  const bool tries_left = request.IsPatient() || request.tries < kMaxTries;
   return !request.cancelling && tries_left && request.deadline > now;
 }
 
-bool caller_flow::IsPatient(const pending_request& request) {
-  return request.spec.work != work_kind::request;
-}
-
-milliseconds caller_flow::RetryWait(const pending_request& request,
-                                    milliseconds suggested) {
-  if (!IsPatient(request)) {
-    return Jitter(suggested);
-  }
-  const int doublings = std::clamp(request.tries - 1, 0, kMaxWaitDoublings);
-  return Jitter(std::min(suggested * (1 << doublings), kLongestWait));
-}
-
 void caller_flow::OnRequestRefused(time_point now,
                                    pending_list::iterator request,
                                    const packet& value) {
   const outcome_kind outcome = OutcomeOf(value.code);
-  const bool repeatable = outcome == outcome_kind::not_run ||
-                          request->spec.idempotent ||
-                          request->spec.work != work_kind::request;
+  const bool repeatable =
+      outcome == outcome_kind::not_run || request->IsRepeatable();
   request->in_doubt |= outcome != outcome_kind::not_run;
   const bool final_code = value.code == result_code::cancelled ||
                           value.code == result_code::deadline_passed;
@@ -389,20 +333,20 @@
     --request->tries;
   } else {
     // Patient work waits for its turn and asks the budget then.
-    if (!IsPatient(*request) && !budget_.TakeRetry()) {
+    if (!request->IsPatient() && !budget_.TakeRetry()) {
       Finish(now, request,
              outcome == outcome_kind::not_run ? result_code::retry_budget_spent
                                               : value.code);
       return;
     }
-    if (!IsPatient(*request)) {
+    if (!request->IsPatient()) {
       counters_.Add(result_code::retried_after_refusal);
     }
   }
-  Renew(now, *request);
+  request->Renew(now);
   if (!IsPlannedMove(value.code)) {
-    request->owes_budget = IsPatient(*request);
-    request->wait = RetryWait(*request, value.time);
+    request->owes_budget = request->IsPatient();
+    request->wait = jitter_.Spread(request->RetryWait(value.time));
     request->next_send = now + request->wait;
   }
   if (state_ == caller_state::open && token_ && *token_ == refused_by) {
@@ -425,20 +369,13 @@
 }
 
 void caller_flow::TickVerdicts(time_point now) {
-  std::erase_if(verdicts_, [](const pending_verdict& item) {
-    return item.sends >= kMaxVerdictSends;
-  });
-  for (pending_verdict& item : verdicts_) {
-    if (now < item.next_send) {
-      continue;
-    }
-    ++item.sends;
-    item.next_send = now + Jitter(Backoff(item.sends));
-    packet value = Header(packet_kind::verdict);
-    value.request_id = item.request_id;
-    value.code = item.code;
-    effects_.Send(value);
-  }
+  verdicts_.SendDue(now, jitter_,
+                    [this](std::uint64_t request_id, result_code code) {
+                      packet value = Header(packet_kind::verdict);
+                      value.request_id = request_id;
+                      value.code = code;
+                      effects_.Send(value);
+                    });
 }
 
 void caller_flow::Tick(time_point now) {
@@ -505,7 +442,7 @@
       request->spec.idempotent || request->spec.work != work_kind::request;
   if (elsewhere && repeatable && now - request->heard_at >= kSilence) {
     request->in_doubt = true;
-    Renew(now, *request);
+    request->Renew(now);
     return;
   }
   SendRequest(now, *request);
@@ -545,7 +482,7 @@
     Finish(now, request, request->token ? result_code::target_lost : refusal);
   }
   if (was_open) {
-    verdicts_.push_back({0, result_code::resume_failed, 0, now});
+    verdicts_.Add(now, 0, result_code::resume_failed);
     effects_.OnBroken(result_code::resume_failed);
   }
 }
@@ -566,7 +503,7 @@
   outcome.target = request->token ? request->token->target : target_id{};
   pending_.erase(request);
   if (code != result_code::answered) {
-    verdicts_.push_back({outcome.request_id, code, 0, now});
+    verdicts_.Add(now, outcome.request_id, code);
   }
   effects_.OnOutcome(outcome);
 }
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -9,28 +9,15 @@
 #include <string>
 #include <string_view>
 
-#include "core/answer_assembly.h"
 #include "core/counters.h"
 #include "core/packet.h"
+#include "core/pending_request.h"
 #include "core/retry_budget.h"
+#include "core/retry_timing.h"
+#include "core/verdict_queue.h"
 
 namespace corianderplank {
 
-/// A piece of work that a caller wants done.
-struct request_spec {
-  /// The caller's number for it; must be unique for the service.
-  std::uint64_t request_id = 0;
-  work_kind work = work_kind::request;
-  std::uint8_t traffic_class = 0;
-  bool idempotent = false;
-  std::chrono::milliseconds timeout{0};
-  /// First message of a feed, or number of an upload's chunk.
-  std::uint64_t position = 0;
-  /// Messages wanted of a feed, 0 for no end.
-  std::uint32_t count = 0;
-  std::string payload;
-};
-
 /// How a piece of work ended.
 struct request_outcome {
   std::uint64_t request_id = 0;
@@ -109,45 +96,13 @@
     return state_ == caller_state::closed ? 0 : pending_.size();
   }
   /// @return whether an entry has yet to note how work ended.
-  bool HasVerdicts() const { return !verdicts_.empty(); }
+  bool HasVerdicts() const { return !verdicts_.IsEmpty(); }
   /// @return the agent's target, 0 before the first token.
   target_id Target() const { return token_ ? token_->target : target_id{}; }
 
  private:
-  struct pending_request {
-    request_spec spec;
-    std::uint32_t sequence = 0;
-    /// The token under which it was sent; nothing while it has not been sent.
-    std::optional<flow_token> token;
-    bool cancelling = false;
-    bool has_progress = false;
-    /// It may have run under an earlier token.
-    bool in_doubt = false;
-    /// It was refused and must ask the budget before it is sent again.
-    bool owes_budget = false;
-    /// How long it waits for the present retry.
-    std::chrono::milliseconds wait{0};
-    int sends = 0;
-    int tries = 0;
-    time_point submitted_at;
-    time_point deadline;
-    time_point heard_at;
-    time_point next_send;
-    time_point give_up_at;
-    std::uint64_t next_position = 0;
-    answer_assembly assembly;
-    std::string answer;
-  };
   using pending_list = std::list<pending_request>;
 
-  /// The end of work that was not answered, to be told to an entry.
-  struct pending_verdict {
-    std::uint64_t request_id = 0;
-    result_code code = result_code::answered;
-    int sends = 0;
-    time_point next_send;
-  };
-
   packet Header(packet_kind kind) const;
   std::uint32_t OldestSequence() const;
   pending_list::iterator FindSequence(std::uint32_t sequence);
@@ -164,12 +119,7 @@
   void OnRequestRefused(time_point now,
                         pending_list::iterator request,
                         const packet& value);
-  void Renew(time_point now, pending_request& request);
   bool MayRetry(time_point now, const pending_request& request) const;
-  /// Uploads and feeds may wait; they are tried until their deadline.
-  static bool IsPatient(const pending_request& request);
-  std::chrono::milliseconds RetryWait(const pending_request& request,
-                                      std::chrono::milliseconds suggested);
   void StartResume(time_point now, result_code reason);
   void TickOpening(time_point now);
   void TickRequest(time_point now, pending_list::iterator request);
@@ -178,7 +128,6 @@
   void GiveUp(time_point now);
   void TickVerdicts(time_point now);
   void Finish(time_point now, pending_list::iterator request, result_code code);
-  std::chrono::milliseconds Jitter(std::chrono::milliseconds base);
 
   service_id service_;
   flow_id flow_;
@@ -192,7 +141,7 @@
   /// tell about an agent that the flow has left since.
   std::uint16_t search_attempt_ = 1;
   std::uint32_t next_sequence_ = 1;
-  std::uint64_t jitter_draws_ = 0;
+  jitter_source jitter_;
   int open_sends_ = 0;
   time_point opening_since_;
   time_point next_open_;
@@ -201,7 +150,7 @@
   result_code open_refusal_ = result_code::open_timeout;
   result_code resume_reason_ = result_code::answered;
   pending_list pending_;
-  std::list<pending_verdict> verdicts_;
+  verdict_queue verdicts_;
 };
 
 }  // namespace corianderplank
--- a/Source/core/request_processor.cc
+++ b/Source/core/request_processor.cc
@@ -13,17 +13,6 @@
 constexpr std::size_t kFeedBacklog = 32;
 /// Times that idempotent work is sent to the backend server at most.
 constexpr std::uint8_t kMaxTries = 2;
-/// Waits that a refusal suggests to the caller.
-constexpr std::chrono::milliseconds kShedRetryAfter = 100ms;
-constexpr std::chrono::milliseconds kBusyRetryAfter = 200ms;
-
-bool IsExecutable(request_state state) {
-  return state == request_state::queued || state == request_state::running;
-}
-
-bool IsUnfinished(request_state state) {
-  return IsExecutable(state) || state == request_state::answering;
-}
 
 }  // namespace
 
@@ -105,7 +94,7 @@
   const request_handle known = FindSequence(flow, value.sequence);
   if (request_record* record = state_.requests.Find(known)) {
     state_.counted.Add(result_code::duplicate_request);
-    RepeatState(flow, *record);
+    replies_.RepeatState(flow, *record);
     return;
   }
   request_record record;
@@ -172,23 +161,8 @@
   }
   StartWaiting(now);
   if (record.state == request_state::queued) {
-    RepeatState(flow, record);
-  }
-}
-
-void request_processor::RepeatState(const flow_record& flow,
-                                    request_record& record) {
-  if (record.state == request_state::refused) {
-    SendRefusal(flow, record);
-    return;
-  }
-  if (!IsUnfinished(record.state)) {
-    return;
+    replies_.RepeatState(flow, record);
   }
-  packet progress;
-  progress.kind = packet_kind::progress;
-  progress.sequence = record.sequence;
-  state_.Send(flow, progress, 0);
 }
 
 void request_processor::Refuse(request_handle handle, result_code code) {
@@ -204,22 +178,10 @@
   state_.counted.Add(code);
   state_.effects.RecordEvent({record.flow, record.request_id, code});
   if (const flow_record* flow = state_.flows.Find(record.flow)) {
-    SendRefusal(*flow, record);
+    replies_.SendRefusal(*flow, record);
   }
 }
 
-void request_processor::SendRefusal(const flow_record& flow,
-                                    const request_record& record) {
-  packet refusal;
-  refusal.kind = packet_kind::refused;
-  refusal.sequence = record.sequence;
-  refusal.request_id = record.request_id;
-  refusal.code = record.code;
-  refusal.time = record.code == result_code::shed_by_backend ? kShedRetryAfter
-                                                             : kBusyRetryAfter;
-  state_.Send(flow, refusal, 0);
-}
-
 void request_processor::StartWaiting(time_point now) {
   const std::uint32_t allowed = AllowedSlots(now);
   while (running_ < allowed) {
@@ -319,7 +281,7 @@
       record.state = request_state::answering;
       record.payload.clear();
       record.payload.shrink_to_fit();
-      SendDue(now, record);
+      replies_.SendDue(now, record);
       return;
     case execution_status::unreachable:
     case execution_status::shed:
@@ -373,7 +335,7 @@
     record.count -= record.count > 0 ? 1 : 0;
     record.answer.AppendMessage(std::move(message), last);
   }
-  SendDue(now, record);
+  replies_.SendDue(now, record);
   if (record.answer.IsClosed()) {
     ReleaseFeed(record);
     record.state = request_state::answering;
@@ -394,7 +356,7 @@
     if (record->answer.IsComplete()) {
       CountAnswered(*record);
     } else {
-      SendDue(now, *record);
+      replies_.SendDue(now, *record);
     }
     const bool reads_on = record->work == work_kind::feed &&
                           record->state == request_state::running &&
@@ -433,7 +395,7 @@
     return;
   }
   if (record->state != request_state::running) {
-    RepeatState(flow, *record);
+    replies_.RepeatState(flow, *record);
     return;
   }
   if (record->executing) {
@@ -492,26 +454,6 @@
                      });
 }
 
-void request_processor::SendDue(time_point now, request_record& record) {
-  const flow_record* flow = state_.flows.Find(record.flow);
-  if (flow == nullptr) {
-    return;
-  }
-  record.answer.SendDue(now, [&](const due_fragment& due) {
-    packet answer;
-    answer.kind = packet_kind::answer;
-    answer.sequence = record.sequence;
-    answer.request_id = record.request_id;
-    answer.fragment = due.index;
-    answer.last = due.last;
-    answer.payload = due.payload;
-    if (due.tries > 0) {
-      state_.counted.Add(result_code::answer_repeated);
-    }
-    state_.Send(*flow, answer, due.tries);
-  });
-}
-
 void request_processor::Tick(time_point now) {
   for (const request_handle handle : queue_.TakeExpired(now)) {
     Refuse(handle, result_code::deadline_passed);
@@ -521,7 +463,7 @@
       [&](request_handle /*handle*/, request_record& record) {
         if (record.answer.Unacknowledged() > 0 &&
             record.state != request_state::refused) {
-          SendDue(now, record);
+          replies_.SendDue(now, record);
         }
       });
 }
--- a/Source/core/request_processor.h
+++ b/Source/core/request_processor.h
@@ -7,6 +7,7 @@
 #include "core/admission_queue.h"
 #include "core/agent_state.h"
 #include "core/backend_monitor.h"
+#include "core/request_replies.h"
 
 namespace corianderplank {
 
@@ -14,7 +15,8 @@
 class request_processor {
  public:
   /// @param state the agent's tables.
-  explicit request_processor(agent_state& state) : state_(state) {}
+  explicit request_processor(agent_state& state)
+      : state_(state), replies_(state) {}
 
   /// Uses a document's limits from now on.
   /// @param now the present time; a cold start is counted from the first call.
@@ -84,13 +86,11 @@
  private:
   void AdvanceBase(flow_record& flow, std::uint32_t oldest);
   request_handle FindSequence(const flow_record& flow, std::uint32_t sequence);
-  void RepeatState(const flow_record& flow, request_record& record);
   void Admit(time_point now, flow_record& flow, request_handle handle);
   result_code ReasonToRefuse(time_point now,
                              const flow_record& flow,
                              const request_record& record) const;
   void Refuse(request_handle handle, result_code code);
-  void SendRefusal(const flow_record& flow, const request_record& record);
   void Start(time_point now, request_handle handle, request_record& record);
   void StartWaiting(time_point now);
   void ReleaseSlot(request_record& record);
@@ -105,12 +105,12 @@
                   request_handle handle,
                   request_record& record,
                   std::vector<std::string> messages);
-  void SendDue(time_point now, request_record& record);
   void ReleaseFeed(request_record& record);
   void CountAnswered(request_record& record);
   std::uint32_t AllowedSlots(time_point now) const;
 
   agent_state& state_;
+  request_replies replies_;
   admission_queue queue_;
   backend_monitor monitor_;
   std::uint32_t running_ = 0;
--- /dev/null
+++ b/Source/core/request_replies.h
@@ -0,0 +1,33 @@
+/// @file
+/// What an agent tells callers about their requests.
+#pragma once
+
+#include "core/agent_state.h"
+
+namespace corianderplank {
+
+/// Sends answers, refusals and progress from the tables alone.
+class request_replies {
+ public:
+  /// @param state the agent's tables.
+  explicit request_replies(agent_state& state) : state_(state) {}
+
+  /// Tells the state of a request whose copy arrived.
+  /// @param flow the request's flow.
+  /// @param record the request.
+  void RepeatState(const flow_record& flow, request_record& record);
+
+  /// @param flow the request's flow.
+  /// @param record a refused request.
+  void SendRefusal(const flow_record& flow, const request_record& record);
+
+  /// Sends the fragments of the answer that are due.
+  /// @param now the present time.
+  /// @param record the request.
+  void SendDue(time_point now, request_record& record);
+
+ private:
+  agent_state& state_;
+};
+
+}  // namespace corianderplank
--- a/Source/core/request_table.h
+++ b/Source/core/request_table.h
@@ -21,6 +21,13 @@
   refused,    ///< Will never start, or its outcome is unknown.
 };
 
+/// @param state a state.
+/// @return whether the caller still waits for the end of the request.
+inline bool IsUnfinished(request_state state) {
+  return state == request_state::queued || state == request_state::running ||
+         state == request_state::answering;
+}
+
 /// Names a request in the table; stale after the request was removed.
 struct request_handle {
   std::uint32_t index = 0;
--- a/Utilities/mutations.py
+++ b/Utilities/mutations.py
@@ -32,7 +32,7 @@
      "    state_.requests.Remove(handle);\n    flow.requests.pop_back();\n    return;\n  }\n"
      "  if (record->state == request_state::queued)"),
     ("a request in doubt is sent again", "caller_flow.cc",
-     "Finish(now, current, result_code::target_lost);", "Renew(now, *current);"),
+     "Finish(now, current, result_code::target_lost);", "current->Renew(now);"),
     ("lost work is called not run", "request_processor.cc",
      "if (record.may_have_run && OutcomeOf(code) == outcome_kind::not_run) {", "if (false) {"),
     ("lost work at the caller is called not run", "caller_flow.cc",
@@ -43,7 +43,7 @@
      "if (value.token->service != routes.Id()) {", "if (false) {"),
     ("a deadline counts from the wake-up", "request_processor.cc",
      "record.deadline = arrived_at + value.time;", "record.deadline = now + value.time;"),
-    ("fragments repeat through one entry", "request_processor.cc",
+    ("fragments repeat through one entry", "request_replies.cc",
      "state_.Send(*flow, answer, due.tries);", "state_.Send(*flow, answer, due.tries > 0 ? 1 : 0);"),
     ("an agent takes packets of another service", "agent.cc",
      "if (header.service != state_.identity.service ||\n      value.service != state_.identity.service) {",
