Count an answer only when its caller has it; believe loads and documents of known peers only

A flow that had moved without its old agent expired there, and its kept answer was counted as received. An expired flow counts nothing now, and an acknowledgement says if the work had ended without the answer.

Also: a load report was believed from any address, and a document was fetched from whoever claimed a higher revision. Both must be known now (unknown_peer). agent_test 'a load is believed only from the sibling itself' and product_test 'a process that nobody names is not asked for its document' pass; the old code had no such check.

--- a/Source/caller/udp_caller.cc
+++ b/Source/caller/udp_caller.cc
@@ -9,7 +9,7 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{5};
 /// How long a closed flow still answers late packets.
-constexpr auto kLinger = 3s;
+constexpr auto kLinger = 10s;
 constexpr double kRetriesPerTry = 0.2;
 constexpr double kRetryReserve = 20;
 constexpr std::uint32_t kLoopback = 0x7f000001;
--- a/Source/core/agent.cc
+++ b/Source/core/agent.cc
@@ -193,7 +193,11 @@
     state_.counted.Add(result_code::wrong_service);
     return;
   }
-  state_.siblings.OnLoad(now, value.target, value.load_permille, value.serving);
+  if (!state_.siblings.OnLoad(now, from, value.target, value.load_permille,
+                              value.serving)) {
+    state_.counted.Add(result_code::unknown_peer);
+    return;
+  }
   if (value.revision > state_.revision && value.control_port != 0) {
     state_.effects.FetchDocumentFrom({from.address, value.control_port});
   }
@@ -264,7 +268,7 @@
   for (auto item = flows.begin(); item != flows.end();) {
     flow_record& flow = item->second;
     if (IsOver(flow)) {
-      requests_.Abandon(flow);
+      requests_.Expire(flow);
       item = flows.erase(item);
       continue;
     }
--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -254,6 +254,11 @@
     done.token = value.token;
     done.sequence = value.sequence;
     done.fragment = value.fragment + 1;
+    const bool ended_without = std::find(unanswered_.begin(), unanswered_.end(),
+                                         value.sequence) != unanswered_.end();
+    if (ended_without) {
+      done.code = result_code::answer_timeout;
+    }
     effects_.Send(done);
     return;
   }
@@ -501,6 +506,12 @@
   outcome.latency = std::chrono::duration_cast<std::chrono::microseconds>(
       now - request->submitted_at);
   outcome.target = request->token ? request->token->target : target_id{};
+  if (code != result_code::answered && request->token) {
+    unanswered_.push_back(request->sequence);
+    if (unanswered_.size() > kWindowSize) {
+      unanswered_.pop_front();
+    }
+  }
   pending_.erase(request);
   if (code != result_code::answered) {
     verdicts_.Add(now, outcome.request_id, code);
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <optional>
 #include <string>
@@ -151,6 +152,8 @@
   result_code resume_reason_ = result_code::answered;
   pending_list pending_;
   verdict_queue verdicts_;
+  /// Latest sequence numbers that ended without an answer.
+  std::deque<std::uint32_t> unanswered_;
 };
 
 }  // namespace corianderplank
--- a/Source/core/request_processor.cc
+++ b/Source/core/request_processor.cc
@@ -54,7 +54,9 @@
     }
     ReleaseFeed(*record);
     // The caller is done with it, so its last acknowledgement was lost.
-    CountAnswered(*record);
+    if (!record->given_up) {
+      CountAnswered(*record);
+    }
     if (record->executing) {
       // The result frees the slot and removes the record.
       record->state = request_state::refused;
@@ -353,7 +355,11 @@
   request_record* record = state_.requests.Find(handle);
   if (record != nullptr) {
     record->answer.Acknowledge(value.fragment, value.selective);
-    if (record->answer.IsComplete()) {
+    // A code says that the caller had ended it without this answer.
+    record->given_up |= value.code != result_code::answered;
+    if (record->answer.IsComplete() && record->given_up) {
+      record->state = request_state::answered;
+    } else if (record->answer.IsComplete()) {
       CountAnswered(*record);
     } else {
       replies_.SendDue(now, *record);
@@ -394,6 +400,7 @@
     Refuse(handle, result_code::cancelled);
     return;
   }
+  record->given_up = true;
   if (record->state != request_state::running) {
     replies_.RepeatState(flow, *record);
     return;
@@ -438,6 +445,15 @@
   return started;
 }
 
+void request_processor::Expire(flow_record& flow) {
+  for (const request_handle handle : flow.requests) {
+    if (request_record* record = state_.requests.Find(handle)) {
+      record->given_up = true;
+    }
+  }
+  Abandon(flow);
+}
+
 void request_processor::Abandon(flow_record& flow) {
   if (flow.state == flow_state::reserved) {
     --state_.reserved;
--- a/Source/core/request_processor.h
+++ b/Source/core/request_processor.h
@@ -55,7 +55,11 @@
   /// @return bit i says that sequence number oldest + i was started.
   std::uint64_t Fence(flow_record& flow, std::uint32_t oldest);
 
-  /// Drops everything of a flow that is about to be removed.
+  /// Drops everything of a flow whose caller is silent.
+  /// @param flow the flow.
+  void Expire(flow_record& flow);
+
+  /// Drops everything of a flow whose caller is done with it.
   /// @param flow the flow.
   void Abandon(flow_record& flow);
 
--- a/Source/core/request_table.h
+++ b/Source/core/request_table.h
@@ -47,6 +47,8 @@
   bool executing = false;
   /// An execution was lost: from now on nobody may say that it was not run.
   bool may_have_run = false;
+  /// The caller gave it up; its answer counts only if it is acknowledged.
+  bool given_up = false;
   /// Is counted among the open feeds.
   bool holds_feed = false;
   std::uint8_t tries = 0;
--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -118,6 +118,8 @@
      "platform_unreachable", "The platform did not answer a call."},
     {result_code::single_source, outcome_kind::document, "single_source",
      "The process began to serve with a document from a single source."},
+    {result_code::unknown_peer, outcome_kind::document, "unknown_peer",
+     "A process that no list names offered a document or told a load."},
 };
 
 }  // namespace
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -76,6 +76,7 @@
   platform_refused = 605,
   platform_unreachable = 606,
   single_source = 607,
+  unknown_peer = 608,
 };
 
 /// One row of the table of codes.
--- a/Source/core/sibling_view.cc
+++ b/Source/core/sibling_view.cc
@@ -71,19 +71,22 @@
   }
 }
 
-void sibling_view::OnLoad(time_point now,
+bool sibling_view::OnLoad(time_point now,
+                          const endpoint& from,
                           target_id id,
                           std::uint32_t load_permille,
                           bool serving) {
   for (sibling& item : siblings_) {
-    if (item.id == id) {
+    if (item.id == id && item.agent == from) {
       item.load_permille = load_permille;
       item.serving = serving;
       item.passed = 0;
       item.heard = true;
       item.heard_at = now;
+      return true;
     }
   }
+  return false;
 }
 
 sibling* sibling_view::Better(time_point now,
--- a/Source/core/sibling_view.h
+++ b/Source/core/sibling_view.h
@@ -39,10 +39,13 @@
                  const instance_list& instances);
 
   /// @param now the present time.
+  /// @param from who sent the report; must be the sibling's address.
   /// @param id a sibling.
   /// @param load_permille its load in thousandths of its slots.
   /// @param serving whether it takes opens.
-  void OnLoad(time_point now,
+  /// @return whether a sibling was found and its load taken.
+  bool OnLoad(time_point now,
+              const endpoint& from,
               target_id id,
               std::uint32_t load_permille,
               bool serving);
--- a/Source/product/config_watcher.cc
+++ b/Source/product/config_watcher.cc
@@ -246,10 +246,35 @@
     }
   }
 
+  bool IsKnown(const endpoint& peer) const {
+    const auto& listed = instances->instances;
+    if (std::find(settings.peers.begin(), settings.peers.end(), peer) !=
+            settings.peers.end() ||
+        std::any_of(listed.begin(), listed.end(), [&](const instance& item) {
+          return item.control == peer;
+        })) {
+      return true;
+    }
+    if (store.InForce() == nullptr) {
+      return false;
+    }
+    const auto& services = store.InForce()->services;
+    return std::any_of(
+        services.begin(), services.end(), [&](const service& of) {
+          return std::any_of(
+              of.targets.begin(), of.targets.end(),
+              [&](const target& item) { return item.control == peer; });
+        });
+  }
+
   void FetchFrom(const endpoint& peer) {
     if (fetching) {
       return;
     }
+    if (!IsKnown(peer)) {
+      counted.Add(result_code::unknown_peer);
+      return;
+    }
     fetching = true;
     AskPeer(peer, [self = shared_from_this()] { self->fetching = false; });
   }
--- a/Source/product/config_watcher.h
+++ b/Source/product/config_watcher.h
@@ -41,7 +41,8 @@
   /// Begins to read; call on the control loop.
   void Start();
 
-  /// A peer has a newer document. Calls while one is fetched are ignored.
+  /// A peer has a newer document. Calls while one is fetched are ignored, and
+  /// so are peers that neither settings, instance list nor document name.
   /// @param peer control endpoint of the peer.
   void FetchFrom(const endpoint& peer);
 
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -298,6 +298,65 @@
   CHECK(bench.counted.Get(result_code::flow_expired) == 1);
 }
 
+TEST_CASE("a load is believed only from the sibling itself") {
+  agent_bench bench(0);
+  envelope report;
+  report.kind = envelope_kind::load_report;
+  report.service = kService;
+  report.target = TargetIdOf("target-1");
+  bench.core.OnLoadReport(kStart, {0x0a0000ff, 6000}, report);
+  CHECK(bench.counted.Get(result_code::unknown_peer) == 1);
+  // Two flows on one slot: the second would go to a free sibling.
+  bench.Open(7, 1);
+  bench.Request(7, *bench.effects.Last(packet_kind::opened)->token, 5);
+  bench.Open(8, 1);
+  CHECK(bench.effects.passed_to.empty());
+  bench.core.OnLoadReport(kStart, {0x0a000002, 6000}, report);
+  bench.Open(9, 1);
+  REQUIRE(bench.effects.passed_to.size() == 1);
+  CHECK(bench.effects.passed_to[0] == endpoint{0x0a000002, 6000});
+}
+
+TEST_CASE("an answer counts only when its caller has it") {
+  const auto answered_after = [](auto&& end) {
+    agent_bench bench(0);
+    bench.core.Tick(kStart);
+    bench.Open(7, 1);
+    const flow_token token = *bench.effects.Last(packet_kind::opened)->token;
+    bench.Request(7, token, 5);
+    bench.core.OnExecutionResult(
+        kStart, bench.effects.started[0],
+        {execution_status::completed, "answer", {}, {}});
+    packet value;
+    value.flow = {7};
+    value.token = token;
+    value.sequence = 5;
+    end(bench, value);
+    return bench.counted.Get(result_code::answered);
+  };
+  CHECK(answered_after([](agent_bench& bench, packet value) {
+          value.kind = packet_kind::acknowledge;
+          value.fragment = 1;
+          bench.Deliver(value);
+        }) == 1);
+  CHECK(answered_after([](agent_bench& bench, packet value) {
+          value.kind = packet_kind::close;
+          bench.Deliver(value);
+        }) == 1);
+  // Its caller went on without it: silence, or a late acknowledgement.
+  CHECK(answered_after([](agent_bench& bench, packet) {
+          for (time_point now = kStart; now < kStart + 40s; now += 100ms) {
+            bench.core.Tick(now);
+          }
+        }) == 0);
+  CHECK(answered_after([](agent_bench& bench, packet value) {
+          value.kind = packet_kind::acknowledge;
+          value.fragment = 1;
+          value.code = result_code::answer_timeout;
+          bench.Deliver(value);
+        }) == 0);
+}
+
 TEST_CASE("packets for another service or with a forged token do nothing") {
   agent_bench bench(0);
   bench.Open(7, 1);
--- a/Tests/core/promise_test.cc
+++ b/Tests/core/promise_test.cc
@@ -115,6 +115,9 @@
   CHECK(counts[outcome_kind::not_run] == 0);
   CHECK(counts[outcome_kind::outcome_unknown] == 0);
   CHECK(world.BrokenFlows() == 0);
+  // The agents' count, from which the analyst's report is made.
+  CHECK(world.Counters().Get(result_code::answered) ==
+        static_cast<std::uint64_t>(counts[outcome_kind::answered]));
 }
 
 TEST_CASE("loss, doubling and reordering on every hop lose nothing") {
--- a/Tests/product/config_watcher_test.cc
+++ b/Tests/product/config_watcher_test.cc
@@ -138,6 +138,23 @@
   CHECK(bench.in_force.empty());
 }
 
+TEST_CASE("a process that nobody names is not asked for its document") {
+  watcher_bench bench(false);
+  int asked = 0;
+  const control_server stranger(
+      kPeer, [&](const std::string&, const control_reply& reply) {
+        ++asked;
+        reply({});
+      });
+  bench.RunUntil([&] {
+    if (!bench.in_force.empty()) {
+      bench.watcher->FetchFrom(kPeer);
+    }
+    return bench.counted.Get(result_code::unknown_peer) > 0;
+  });
+  CHECK(asked == 0);
+}
+
 TEST_CASE("a document with errors is refused and the one in force stays") {
   watcher_bench bench(false);
   bench.RunUntil([&] {
