Judge a backend server's requests apart from its feeds

The server that lost every answer was never suspended for long: feeds on it flowed, and each message counted as a success. Before: agent_test 'a feed that flows does not hide that all requests are lost' fails (drain reasons 0, wanted 16). After: it passes.

--- a/Source/core/request_processor.cc
+++ b/Source/core/request_processor.cc
@@ -253,8 +253,11 @@
   }
   record->executing = false;
   ReleaseSlot(*record);
-  const bool wanted =
-      record->flow != flow_id{} && record->state == request_state::running;
+  // A feed that flows says nothing about requests, which take other paths.
+  const bool feed_flows = record->work == work_kind::feed &&
+                          result.status == execution_status::completed;
+  const bool wanted = record->flow != flow_id{} && !feed_flows &&
+                      record->state == request_state::running;
   if (wanted) {
     monitor_.OnResult(now, result.status);
   }
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -357,6 +357,33 @@
         }) == 0);
 }
 
+TEST_CASE("a feed that flows does not hide that all requests are lost") {
+  agent_bench bench(0);
+  bench.Open(1, 1);
+  packet feed;
+  feed.kind = packet_kind::request;
+  feed.flow = {1};
+  feed.token = bench.effects.Last(packet_kind::opened)->token;
+  feed.sequence = 5;
+  feed.work = work_kind::feed;
+  feed.time = 60000ms;
+  bench.Deliver(feed);
+  for (std::uint64_t flow = 2; flow <= 4; ++flow) {
+    bench.core.OnExecutionResult(
+        kStart, bench.effects.started.back(),
+        {execution_status::completed, "", {"message"}, {}});
+    const std::uint64_t feed_execution = bench.effects.started.back();
+    bench.Open(flow, 1);
+    bench.Request(flow, *bench.effects.Last(packet_kind::opened)->token, 5);
+    bench.core.OnExecutionResult(kStart, bench.effects.started.back(),
+                                 {execution_status::lost, "", {}, {}});
+    bench.effects.started.push_back(feed_execution);
+  }
+  bench.core.Tick(kStart);
+  CHECK(bench.core.Summary().drain_reasons ==
+        static_cast<std::uint8_t>(drain_reason::failing));
+}
+
 TEST_CASE("packets for another service or with a forged token do nothing") {
   agent_bench bench(0);
   bench.Open(7, 1);
