--- a/Source/core/request_processor.cc
+++ b/Source/core/request_processor.cc
@@ -17,23 +17,13 @@
 }  // namespace
 
 void request_processor::Configure(time_point now, const service& of) {
-  if (started_at_ == time_point()) {
-    started_at_ = now;
-  }
-  cold_start_ = of.cold_start;
+  ramp_.Configure(now, of.cold_start);
   const std::uint32_t slots = state_.settings.slots;
   queue_.Configure(of.classes, of.queue_per_slot * slots, slots);
 }
 
 std::uint32_t request_processor::AllowedSlots(time_point now) const {
-  const std::uint32_t slots = std::max(1U, state_.settings.slots);
-  const auto age = now - started_at_;
-  if (cold_start_.count() == 0 || age >= cold_start_) {
-    return slots;
-  }
-  const auto share = std::chrono::duration<double>(age) /
-                     std::chrono::duration<double>(cold_start_);
-  return std::clamp(static_cast<std::uint32_t>(slots * share), 1U, slots);
+  return ramp_.Allowed(now, state_.settings.slots);
 }
 
 void request_processor::AdvanceBase(flow_record& flow, std::uint32_t oldest) {
--- a/Source/core/request_processor.h
+++ b/Source/core/request_processor.h
@@ -8,6 +8,7 @@
 #include "core/agent_state.h"
 #include "core/backend_monitor.h"
 #include "core/request_replies.h"
+#include "core/slot_ramp.h"
 
 namespace corianderplank {
 
@@ -119,8 +120,7 @@
   backend_monitor monitor_;
   std::uint32_t running_ = 0;
   std::uint32_t feeds_ = 0;
-  time_point started_at_;
-  std::chrono::milliseconds cold_start_{0};
+  slot_ramp ramp_;
 };
 
 }  // namespace corianderplank
--- /dev/null
+++ b/Source/core/slot_ramp.cc
@@ -0,0 +1,26 @@
+#include "core/slot_ramp.h"
+
+#include <algorithm>
+
+namespace corianderplank {
+
+void slot_ramp::Configure(time_point now,
+                          std::chrono::milliseconds cold_start) {
+  if (started_at_ == time_point()) {
+    started_at_ = now;
+  }
+  cold_start_ = cold_start;
+}
+
+std::uint32_t slot_ramp::Allowed(time_point now, std::uint32_t slots) const {
+  const std::uint32_t all = std::max(1U, slots);
+  const auto age = now - started_at_;
+  if (age >= cold_start_) {
+    return all;
+  }
+  const auto share = std::chrono::duration<double>(age) /
+                     std::chrono::duration<double>(cold_start_);
+  return std::clamp(static_cast<std::uint32_t>(all * share), 1U, all);
+}
+
+}  // namespace corianderplank
--- /dev/null
+++ b/Source/core/slot_ramp.h
@@ -0,0 +1,29 @@
+/// @file
+/// Slots that open up while a backend server warms up.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "core/identifiers.h"
+
+namespace corianderplank {
+
+/// Grows the allowed slots from one to all over the cold start.
+class slot_ramp {
+ public:
+  /// @param now the present time; the ramp starts with the first call.
+  /// @param cold_start how long it lasts, 0 for none.
+  void Configure(time_point now, std::chrono::milliseconds cold_start);
+
+  /// @param now the present time.
+  /// @param slots the target's slots.
+  /// @return the slots that may be used, at least one.
+  std::uint32_t Allowed(time_point now, std::uint32_t slots) const;
+
+ private:
+  time_point started_at_;
+  std::chrono::milliseconds cold_start_{0};
+};
+
+}  // namespace corianderplank
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/lower_case.h"
+
 namespace corianderplank {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -21,15 +23,6 @@
 constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
 
-std::string Lower(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char letter) {
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
-                                          : letter;
-  });
-  return lower;
-}
-
 /// @return whether the server has neither closed nor spoken out of turn.
 bool IsQuiet(tcp::socket& socket) {
   char byte = 0;
@@ -123,7 +116,7 @@
         const auto& response = parser.get();
         result.code = static_cast<int>(response.result_int());
         for (const auto& field : response) {
-          result.headers[Lower(field.name_string())] =
+          result.headers[LowerCase(field.name_string())] =
               std::string(field.value());
         }
         const bool reusable = response.keep_alive() && buffer.size() == 0 &&
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/lower_case.h"
+
 namespace corianderplank {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -18,15 +20,6 @@
 
 constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
 
-std::string Lower(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char letter) {
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
-                                          : letter;
-  });
-  return lower;
-}
-
 }  // namespace
 
 void ParseTarget(const std::string& target, http_request& request) {
@@ -173,7 +166,8 @@
   request.method = std::string(raw.method_string());
   ParseTarget(std::string(raw.target()), request);
   for (const auto& field : raw) {
-    request.headers[Lower(field.name_string())] = std::string(field.value());
+    request.headers[LowerCase(field.name_string())] =
+        std::string(field.value());
   }
   request.body = raw.body();
   WatchForClose();
--- a/Tests/core/module_test.cc
+++ b/Tests/core/module_test.cc
@@ -10,6 +10,7 @@
 #include "core/lifecycle.h"
 #include "core/load_reporter.h"
 #include "core/retry_budget.h"
+#include "core/slot_ramp.h"
 #include "core/token_authority.h"
 #include "core/two_choice_picker.h"
 
@@ -196,6 +197,18 @@
   CHECK(queue.Pop(3));
 }
 
+TEST_CASE("a cold target's slots open up one after the other") {
+  slot_ramp ramp;
+  CHECK(ramp.Allowed(kStart, 4) == 4);
+  ramp.Configure(kStart, 10s);
+  CHECK(ramp.Allowed(kStart, 4) == 1);
+  CHECK(ramp.Allowed(kStart + 5s, 4) == 2);
+  CHECK(ramp.Allowed(kStart + 10s, 4) == 4);
+  // A new document does not begin the ramp anew.
+  ramp.Configure(kStart + 9s, 10s);
+  CHECK(ramp.Allowed(kStart + 11s, 4) == 4);
+}
+
 TEST_CASE("a backend server is judged by its results") {
   backend_monitor monitor;
   monitor.OnResult(kStart, execution_status::unreachable);
