A backend server that comes back is treated as cold

Cause: the ramp of a cold start was counted from the agent's start only; a backend server that was replaced beside a running agent got all slots at once. Before: agent_test 'a backend server that comes back is cold' starts 3 requests, wanted 1. After: it passes.

--- a/Source/core/agent.cc
+++ b/Source/core/agent.cc
@@ -256,9 +256,14 @@
   const bool has_other = std::any_of(
       siblings.begin(), siblings.end(),
       [](const sibling& item) { return item.serving && !item.leaving; });
+  constexpr auto kFailing = static_cast<std::uint8_t>(drain_reason::failing);
+  const bool was_failing = (drain_reasons_ & kFailing) != 0;
   // The last target of a service is never taken out.
-  SetDrain(drain_reason::failing,
-           has_other && requests_.IsBackendSuspended(now));
+  const bool failing = has_other && requests_.IsBackendSuspended(now);
+  SetDrain(drain_reason::failing, failing);
+  if (was_failing && !failing) {
+    requests_.OnBackendReturned(now);
+  }
 }
 
 void agent::SweepFlows(time_point now) {
--- a/Source/core/request_processor.h
+++ b/Source/core/request_processor.h
@@ -83,6 +83,9 @@
   bool IsBackendSuspended(time_point now) const {
     return monitor_.IsSuspended(now);
   }
+  /// The backend server is taken back after a suspension; it may be cold.
+  /// @param now the present time.
+  void OnBackendReturned(time_point now) { ramp_.Restart(now); }
   /// @return requests that hold a slot.
   std::uint32_t Running() const { return running_; }
   /// @return feeds that are open.
--- a/Source/core/slot_ramp.h
+++ b/Source/core/slot_ramp.h
@@ -16,6 +16,10 @@
   /// @param cold_start how long it lasts, 0 for none.
   void Configure(time_point now, std::chrono::milliseconds cold_start);
 
+  /// Begins the ramp anew: the backend server has come back.
+  /// @param now the present time.
+  void Restart(time_point now) { started_at_ = now; }
+
   /// @param now the present time.
   /// @param slots the target's slots.
   /// @return the slots that may be used, at least one.
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -384,6 +384,42 @@
         static_cast<std::uint8_t>(drain_reason::failing));
 }
 
+TEST_CASE("a backend server that comes back is cold") {
+  agent_bench bench(0);
+  environment_document document = MakeDocument(3);
+  document.services[0].cold_start = 10000ms;
+  document.services[0].targets[0].slots = 4;
+  bench.core.Configure(kStart, document, {});
+  const time_point warm = kStart + 20s;
+  for (std::uint64_t flow = 1; flow <= 3; ++flow) {
+    bench.Open(flow, 1);
+    bench.Request(flow, *bench.effects.Last(packet_kind::opened)->token, 5);
+    bench.core.OnExecutionResult(warm, bench.effects.started.back(),
+                                 {execution_status::unreachable, "", {}, {}});
+  }
+  bench.core.Tick(warm);
+  CHECK(bench.core.Summary().state == lifecycle_state::draining);
+  const time_point later = warm + 2s;
+  bench.core.Tick(later);
+  CHECK(bench.core.Summary().state == lifecycle_state::serving);
+  const std::size_t before = bench.effects.started.size();
+  for (std::uint64_t flow = 11; flow <= 13; ++flow) {
+    packet open;
+    open.kind = packet_kind::open;
+    open.flow = {flow};
+    open.sequence = 5;
+    bench.Deliver(open, later);
+    packet value;
+    value.kind = packet_kind::request;
+    value.flow = {flow};
+    value.token = bench.effects.Last(packet_kind::opened)->token;
+    value.sequence = 5;
+    value.time = 1000ms;
+    bench.Deliver(value, later);
+  }
+  CHECK(bench.effects.started.size() == before + 1);
+}
+
 TEST_CASE("packets for another service or with a forged token do nothing") {
   agent_bench bench(0);
   bench.Open(7, 1);
