--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -14,9 +14,6 @@
 /// Silence after which a flow looks for another target.
 constexpr auto kSilence = 1200ms;
 constexpr int kSilentSends = 4;
-/// The same while work would be in doubt if its agent could not be asked.
-constexpr auto kLongSilence = 2500ms;
-constexpr int kLongSilentSends = 6;
 /// How long the end of a cancelled request is waited for.
 constexpr auto kCancelGrace = 1500ms;
 /// How long a flow looks for a target.
@@ -394,8 +391,10 @@
   if (state_ != caller_state::open) {
     TickOpening(now);
   }
+  bool silent = false;
   for (auto request = pending_.begin(); request != pending_.end();) {
     const auto current = request++;
+    silent = silent || IsSilent(now, *current);
     if (now >= current->deadline) {
       TickDeadline(now, current);
     } else {
@@ -408,7 +407,7 @@
   if (state_ != caller_state::open) {
     return;
   }
-  if (IsSilent(now)) {
+  if (silent) {
     StartResume(now, result_code::resumed_for_silence);
     return;
   }
@@ -419,20 +418,11 @@
   }
 }
 
-bool caller_flow::IsSilent(time_point now) const {
-  int sends = 0;
-  bool doubtful = false;
-  time_point heard_at = heard_at_;
-  for (const pending_request& request : pending_) {
-    if (request.token && token_ && *request.token == *token_) {
-      sends = std::max(sends, request.sends);
-      doubtful = doubtful || !request.IsRepeatable();
-      heard_at = std::max(heard_at, request.heard_at);
-    }
-  }
-  const auto silence = doubtful ? kLongSilence : kSilence;
-  const int limit = doubtful ? kLongSilentSends : kSilentSends;
-  return sends >= limit && now - heard_at >= silence;
+bool caller_flow::IsSilent(time_point now,
+                           const pending_request& request) const {
+  return request.token && token_ && *request.token == *token_ &&
+         request.sends >= kSilentSends && now - request.heard_at >= kSilence &&
+         now - heard_at_ >= kSilence;
 }
 
 void caller_flow::TickOpening(time_point now) {
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -125,7 +125,7 @@
   void TickOpening(time_point now);
   void TickRequest(time_point now, pending_list::iterator request);
   void TickDeadline(time_point now, pending_list::iterator request);
-  bool IsSilent(time_point now) const;
+  bool IsSilent(time_point now, const pending_request& request) const;
   void GiveUp(time_point now);
   void TickVerdicts(time_point now);
   void Finish(time_point now, pending_list::iterator request, result_code code);
