Drop what lay in the socket of a sleeping process; take arrival times from the system

Entry-1 woke with 20 s of datagrams and forwarded them all; each open made a reservation of 5 s, which counted as load. Callers had been answered through other entries long before.

Ruled out: the frozen backend server (no execution was shed), the frozen agent (its sleep ended later than the first skew).

Deadlines now count from the time at which the system received a packet, which is exact where a guess from the last look at the socket was used.

--- a/Source/agent/agent_daemon.cc
+++ b/Source/agent/agent_daemon.cc
@@ -16,8 +16,6 @@
 constexpr std::chrono::milliseconds kHealthPeriod{500};
 constexpr std::chrono::milliseconds kFenceTimeout{400};
 constexpr std::chrono::milliseconds kStatusTimeout{300};
-/// A longer gap between two looks at the socket is a pause of this process.
-constexpr auto kPause = 200ms;
 
 time_point Now() {
   return std::chrono::steady_clock::now();
@@ -64,13 +62,8 @@
                                            shared.Counters(),
                                            shared.Impaired())) {
   socket_->Receive(
-      [this](const endpoint& from, std::string_view datagram) {
-        OnDatagram(from, datagram);
-      },
-      [this] {
-        polled_at_ = Now();
-        socket_->Flush();
-      });
+      [this](const received_datagram& datagram) { OnDatagram(datagram); },
+      [this] { socket_->Flush(); });
   traffic_loop_.Every(kTickPeriod, [this] { OnTick(); });
   traffic_loop_.Every(kHealthPeriod, [this] { backend_.AskHealth(); });
   traffic_thread_ = std::thread([this] { traffic_loop_.Run(); });
@@ -95,21 +88,16 @@
   });
 }
 
-time_point agent_daemon::ArrivalTime(time_point now) const {
-  const bool paused = polled_at_ != time_point() && now - polled_at_ >= kPause;
-  return paused ? polled_at_ : now;
-}
-
-void agent_daemon::OnDatagram(const endpoint& from, std::string_view datagram) {
+void agent_daemon::OnDatagram(const received_datagram& datagram) {
   envelope header;
-  result_code code = DecodeEnvelope(datagram, header);
+  result_code code = DecodeEnvelope(datagram.bytes, header);
   if (code != result_code::answered) {
     shared_.Counters().Add(code);
     return;
   }
   const time_point now = Now();
   if (header.kind == envelope_kind::load_report) {
-    agent_.OnLoadReport(now, from, header);
+    agent_.OnLoadReport(now, datagram.arrived_at, datagram.from, header);
     return;
   }
   if (header.kind != envelope_kind::to_agent) {
@@ -122,18 +110,14 @@
     shared_.Counters().Add(code);
     return;
   }
-  agent_.OnPacket(now, ArrivalTime(now), header, value);
+  agent_.OnPacket(now, datagram.arrived_at, header, value);
 }
 
 void agent_daemon::OnTick() {
   const time_point now = Now();
-  const bool paused = polled_at_ != time_point() && now - polled_at_ >= kPause;
   MeasureLoad(now);
   agent_.Tick(now);
   socket_->Flush();
-  if (!paused) {
-    polled_at_ = now;
-  }
   LogStateChange(agent_.Summary().state);
   CheckStopped();
 }
--- a/Source/agent/agent_daemon.h
+++ b/Source/agent/agent_daemon.h
@@ -42,8 +42,7 @@
   void FetchDocumentFrom(const endpoint& peer) override;
   void RecordEvent(const flow_event& event) override;
 
-  void OnDatagram(const endpoint& from, std::string_view datagram);
-  time_point ArrivalTime(time_point now) const;
+  void OnDatagram(const received_datagram& datagram);
   void OnTick();
   void MeasureLoad(time_point now);
   void CheckStopped();
@@ -56,7 +55,6 @@
   datagram_encoder packet_encoder_;
   datagram_encoder envelope_encoder_;
   std::unique_ptr<udp_socket> socket_;
-  time_point polled_at_;
   time_point measured_at_;
   double busy_slot_seconds_ = 0;
   std::int64_t interval_second_ = 0;
--- a/Source/caller/udp_caller.cc
+++ b/Source/caller/udp_caller.cc
@@ -64,9 +64,9 @@
                                            endpoint{kLoopback, 0},
                                            counters,
                                            impaired)) {
-  socket_->Receive([this](const endpoint& /*from*/,
-                          std::string_view datagram) { OnDatagram(datagram); },
-                   [this] { Flush(); });
+  socket_->Receive(
+      [this](const received_datagram& datagram) { OnDatagram(datagram.bytes); },
+      [this] { Flush(); });
   loop.Every(kTickPeriod, [this] { Tick(); });
 }
 
--- a/Source/core/agent.cc
+++ b/Source/core/agent.cc
@@ -107,6 +107,10 @@
     return;
   }
   if (value.kind == packet_kind::open) {
+    if (now - arrived_at >= kStaleAfter) {
+      state_.counted.Add(result_code::stale_datagram);
+      return;
+    }
     opens_.OnOpen(now, header, value);
     return;
   }
@@ -187,8 +191,13 @@
 }
 
 void agent::OnLoadReport(time_point now,
+                         time_point arrived_at,
                          const endpoint& from,
                          const envelope& value) {
+  if (now - arrived_at >= kStaleAfter) {
+    state_.counted.Add(result_code::stale_datagram);
+    return;
+  }
   if (value.service != state_.identity.service) {
     state_.counted.Add(result_code::wrong_service);
     return;
--- a/Source/core/agent.h
+++ b/Source/core/agent.h
@@ -68,9 +68,11 @@
 
   /// Handles a sibling's load.
   /// @param now the present time.
+  /// @param arrived_at when it reached this process's socket.
   /// @param from the sibling's address.
   /// @param value the report.
   void OnLoadReport(time_point now,
+                    time_point arrived_at,
                     const endpoint& from,
                     const envelope& value);
 
--- a/Source/core/entry.cc
+++ b/Source/core/entry.cc
@@ -25,11 +25,23 @@
   table_ = std::move(table);
 }
 
+bool entry::IsStale(time_point now, time_point arrived_at) {
+  if (now - arrived_at < kStaleAfter) {
+    return false;
+  }
+  counters_.Add(result_code::stale_datagram);
+  return true;
+}
+
 void entry::OnCallerPacket(time_point now,
+                           time_point arrived_at,
                            service_id service,
                            const endpoint& caller,
                            const packet& value,
                            std::string_view datagram) {
+  if (IsStale(now, arrived_at)) {
+    return;
+  }
   const service_routes* routes =
       table_ == nullptr ? nullptr : table_->Find(service);
   if (routes == nullptr) {
@@ -114,8 +126,12 @@
 }
 
 void entry::OnAgentEnvelope(time_point now,
+                            time_point arrived_at,
                             const endpoint& from,
                             const envelope& value) {
+  if (IsStale(now, arrived_at)) {
+    return;
+  }
   const service_routes* routes =
       table_ == nullptr ? nullptr : table_->Find(value.service);
   if (routes == nullptr) {
--- a/Source/core/entry.h
+++ b/Source/core/entry.h
@@ -71,11 +71,13 @@
 
   /// Handles a datagram from a caller.
   /// @param now the present time.
+  /// @param arrived_at when the datagram reached this process's socket.
   /// @param service the service at whose address the datagram arrived.
   /// @param caller who sent it.
   /// @param value the decoded packet.
   /// @param datagram the packet's bytes.
   void OnCallerPacket(time_point now,
+                      time_point arrived_at,
                       service_id service,
                       const endpoint& caller,
                       const packet& value,
@@ -83,13 +85,16 @@
 
   /// Handles an envelope from an agent.
   /// @param now the present time.
+  /// @param arrived_at when the envelope reached this process's socket.
   /// @param from the agent's endpoint.
   /// @param value the decoded envelope.
   void OnAgentEnvelope(time_point now,
+                       time_point arrived_at,
                        const endpoint& from,
                        const envelope& value);
 
  private:
+  bool IsStale(time_point now, time_point arrived_at);
   void Forward(const route_target& target,
                service_id service,
                const endpoint& caller,
--- a/Source/core/packet.h
+++ b/Source/core/packet.h
@@ -21,6 +21,10 @@
 inline constexpr std::size_t kMaxPayloadBytes = 1100;
 /// Opens are padded to this size so that no reply is larger, in bytes.
 inline constexpr std::size_t kOpenPaddingBytes = 160;
+/// Age from which a datagram is dropped that lay in a sleeping process's
+/// socket: its sender has repeated it elsewhere since, and its load says
+/// nothing now.
+inline constexpr std::chrono::milliseconds kStaleAfter{1000};
 /// Sequence numbers of one flow that may be unfinished at a time.
 inline constexpr std::uint32_t kWindowSize = 64;
 
--- a/Source/core/request_processor.cc
+++ b/Source/core/request_processor.cc
@@ -349,8 +349,9 @@
   if (record != nullptr) {
     record->answer.Acknowledge(value.fragment, value.selective);
     // A code says that the caller had ended it without this answer.
-    record->given_up |= value.code != result_code::answered;
-    if (record->answer.IsComplete() && record->given_up) {
+    const bool wanted = value.code == result_code::answered;
+    record->given_up |= !wanted;
+    if (record->answer.IsComplete() && !wanted) {
       record->state = request_state::answered;
     } else if (record->answer.IsComplete()) {
       CountAnswered(*record);
--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -79,6 +79,8 @@
      "The operating system did not take the datagram."},
     {result_code::unknown_service, outcome_kind::dropped, "unknown_service",
      "The service is not in the document in force."},
+    {result_code::stale_datagram, outcome_kind::dropped, "stale_datagram",
+     "The datagram had arrived long before the process woke up."},
     {result_code::open_repeated, outcome_kind::retried, "open_repeated",
      "An open was sent again for want of an answer."},
     {result_code::request_repeated, outcome_kind::retried, "request_repeated",
--- a/Source/entry/entry_daemon.cc
+++ b/Source/entry/entry_daemon.cc
@@ -32,9 +32,7 @@
                                                  shared.Counters(),
                                                  shared.Impaired())) {
   agent_socket_->Receive(
-      [this](const endpoint& from, std::string_view datagram) {
-        OnAgentDatagram(from, datagram);
-      },
+      [this](const received_datagram& datagram) { OnAgentDatagram(datagram); },
       [this] { FlushAll(); });
   traffic_thread_ = std::thread([this] { traffic_loop_.Run(); });
 }
@@ -70,9 +68,8 @@
     auto socket = std::make_unique<udp_socket>(
         traffic_loop_, local, shared_.Counters(), shared_.Impaired());
     socket->Receive(
-        [this, id = routes.Id()](const endpoint& from,
-                                 std::string_view datagram) {
-          OnCallerDatagram(id, from, datagram);
+        [this, id = routes.Id()](const received_datagram& datagram) {
+          OnCallerDatagram(id, datagram);
         },
         [this] { FlushAll(); });
     service_sockets_[routes.Id()] = std::move(socket);
@@ -83,21 +80,20 @@
 }
 
 void entry_daemon::OnCallerDatagram(service_id service,
-                                    const endpoint& from,
-                                    std::string_view datagram) {
+                                    const received_datagram& datagram) {
   packet value;
-  const result_code code = DecodePacket(datagram, value);
+  const result_code code = DecodePacket(datagram.bytes, value);
   if (code != result_code::answered) {
     shared_.Counters().Add(code);
     return;
   }
-  entry_.OnCallerPacket(Now(), service, from, value, datagram);
+  entry_.OnCallerPacket(Now(), datagram.arrived_at, service, datagram.from,
+                        value, datagram.bytes);
 }
 
-void entry_daemon::OnAgentDatagram(const endpoint& from,
-                                   std::string_view datagram) {
+void entry_daemon::OnAgentDatagram(const received_datagram& datagram) {
   envelope value;
-  const result_code code = DecodeEnvelope(datagram, value);
+  const result_code code = DecodeEnvelope(datagram.bytes, value);
   if (code != result_code::answered) {
     shared_.Counters().Add(code);
     return;
@@ -106,7 +102,7 @@
     shared_.Counters().Add(result_code::unexpected_kind);
     return;
   }
-  entry_.OnAgentEnvelope(Now(), from, value);
+  entry_.OnAgentEnvelope(Now(), datagram.arrived_at, datagram.from, value);
 }
 
 void entry_daemon::Queue(udp_socket& socket,
--- a/Source/entry/entry_daemon.h
+++ b/Source/entry/entry_daemon.h
@@ -45,10 +45,8 @@
 
   void UseTable(const std::shared_ptr<const routing_table>& table);
   void ListenFor(const service_routes& routes);
-  void OnCallerDatagram(service_id service,
-                        const endpoint& from,
-                        std::string_view datagram);
-  void OnAgentDatagram(const endpoint& from, std::string_view datagram);
+  void OnCallerDatagram(service_id service, const received_datagram& datagram);
+  void OnAgentDatagram(const received_datagram& datagram);
   void Queue(udp_socket& socket, const endpoint& to, std::string_view bytes);
   void FlushAll();
   std::string ExplainOnTraffic(const std::string& flow,
--- a/Source/net/udp_socket.cc
+++ b/Source/net/udp_socket.cc
@@ -3,9 +3,11 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <ctime>
 #include <system_error>
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +18,7 @@
 
 constexpr std::size_t kBatch = 64;
 constexpr std::size_t kBufferBytes = 2048;
+constexpr std::size_t kControlBytes = CMSG_SPACE(sizeof(timespec));
 constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
 
 sockaddr_in ToNative(const endpoint& value) {
@@ -38,6 +41,9 @@
   }
   ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kSocketBufferBytes,
                sizeof(kSocketBufferBytes));
+  const int enabled = 1;
+  ::setsockopt(descriptor, SOL_SOCKET, SO_TIMESTAMPNS, &enabled,
+               sizeof(enabled));
   ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kSocketBufferBytes,
                sizeof(kSocketBufferBytes));
   const sockaddr_in native = ToNative(local);
@@ -51,9 +57,27 @@
   return descriptor;
 }
 
+/// @return how long ago the operating system received a datagram.
+std::chrono::nanoseconds AgeOf(const msghdr& header, const timespec& now) {
+  for (const cmsghdr* part = CMSG_FIRSTHDR(&header); part != nullptr;
+       part = CMSG_NXTHDR(const_cast<msghdr*>(&header),
+                          const_cast<cmsghdr*>(part))) {
+    if (part->cmsg_level == SOL_SOCKET && part->cmsg_type == SCM_TIMESTAMPNS) {
+      timespec received{};
+      std::memcpy(&received, CMSG_DATA(part), sizeof(received));
+      const auto age = std::chrono::seconds(now.tv_sec - received.tv_sec) +
+                       std::chrono::nanoseconds(now.tv_nsec - received.tv_nsec);
+      // A clock that was set back makes nothing younger than now.
+      return std::max(age, std::chrono::nanoseconds(0));
+    }
+  }
+  return std::chrono::nanoseconds(0);
+}
+
 /// Buffers for one call of recvmmsg or sendmmsg.
 struct batch {
   alignas(64) std::array<std::array<char, kBufferBytes>, kBatch> buffers;
+  alignas(cmsghdr) std::array<std::array<char, kControlBytes>, kBatch> control;
   std::array<sockaddr_in, kBatch> addresses{};
   std::array<iovec, kBatch> vectors{};
   std::array<mmsghdr, kBatch> messages{};
@@ -93,13 +117,21 @@
 
   void ReadBatch() {
     for (std::size_t index = 0; index < kBatch; ++index) {
-      in.messages[index].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+      msghdr& header = in.messages[index].msg_hdr;
+      header.msg_namelen = sizeof(sockaddr_in);
+      header.msg_control = in.control[index].data();
+      header.msg_controllen = kControlBytes;
     }
     const int received = ::recvmmsg(descriptor.native_handle(),
                                     in.messages.data(), kBatch, 0, nullptr);
+    timespec wall_now{};
+    ::clock_gettime(CLOCK_REALTIME, &wall_now);
+    const time_point now = std::chrono::steady_clock::now();
     for (int index = 0; index < received; ++index) {
-      on_datagram(FromNative(in.addresses[index]),
-                  {in.buffers[index].data(), in.messages[index].msg_len});
+      const mmsghdr& message = in.messages[index];
+      on_datagram({FromNative(in.addresses[index]),
+                   {in.buffers[index].data(), message.msg_len},
+                   now - AgeOf(message.msg_hdr, wall_now)});
     }
     on_batch();
   }
--- a/Source/net/udp_socket.h
+++ b/Source/net/udp_socket.h
@@ -13,9 +13,16 @@
 
 namespace corianderplank {
 
-/// Called for each datagram; the bytes are valid during the call.
-using datagram_handler =
-    std::function<void(const endpoint& from, std::string_view datagram)>;
+/// A datagram that was received; its bytes are valid during the call.
+struct received_datagram {
+  endpoint from;
+  std::string_view bytes;
+  /// When the operating system received it.
+  time_point arrived_at;
+};
+
+/// Called for each datagram.
+using datagram_handler = std::function<void(const received_datagram&)>;
 
 /// A bound, non-blocking socket. Used on its loop's thread only.
 class udp_socket {
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -304,14 +304,14 @@
   report.kind = envelope_kind::load_report;
   report.service = kService;
   report.target = TargetIdOf("target-1");
-  bench.core.OnLoadReport(kStart, {0x0a0000ff, 6000}, report);
+  bench.core.OnLoadReport(kStart, kStart, {0x0a0000ff, 6000}, report);
   CHECK(bench.counted.Get(result_code::unknown_peer) == 1);
   // Two flows on one slot: the second would go to a free sibling.
   bench.Open(7, 1);
   bench.Request(7, *bench.effects.Last(packet_kind::opened)->token, 5);
   bench.Open(8, 1);
   CHECK(bench.effects.passed_to.empty());
-  bench.core.OnLoadReport(kStart, {0x0a000002, 6000}, report);
+  bench.core.OnLoadReport(kStart, kStart, {0x0a000002, 6000}, report);
   bench.Open(9, 1);
   REQUIRE(bench.effects.passed_to.size() == 1);
   CHECK(bench.effects.passed_to[0] == endpoint{0x0a000002, 6000});
@@ -343,6 +343,14 @@
           value.kind = packet_kind::close;
           bench.Deliver(value);
         }) == 1);
+  // The answer came although its caller had cancelled.
+  CHECK(answered_after([](agent_bench& bench, packet value) {
+          value.kind = packet_kind::cancel;
+          bench.Deliver(value);
+          value.kind = packet_kind::acknowledge;
+          value.fragment = 1;
+          bench.Deliver(value);
+        }) == 1);
   // Its caller went on without it: silence, or a late acknowledgement.
   CHECK(answered_after([](agent_bench& bench, packet) {
           for (time_point now = kStart; now < kStart + 40s; now += 100ms) {
@@ -420,6 +428,27 @@
   CHECK(bench.effects.started.size() == before + 1);
 }
 
+TEST_CASE("what lay in the socket of a sleeping agent reserves nothing") {
+  agent_bench bench(0);
+  envelope header;
+  header.service = kService;
+  packet open;
+  open.kind = packet_kind::open;
+  open.service = kService;
+  open.flow = {7};
+  bench.core.OnPacket(kStart, kStart - 5s, header, open);
+  CHECK(bench.core.Summary().flows == 0);
+  CHECK(bench.effects.packets.empty());
+  envelope report;
+  report.kind = envelope_kind::load_report;
+  report.service = kService;
+  report.target = TargetIdOf("target-1");
+  bench.core.OnLoadReport(kStart, kStart - 5s, {0x0a000002, 6000}, report);
+  CHECK(bench.counted.Get(result_code::stale_datagram) == 2);
+  bench.core.OnPacket(kStart, kStart - 500ms, header, open);
+  CHECK(bench.core.Summary().flows == 1);
+}
+
 TEST_CASE("packets for another service or with a forged token do nothing") {
   agent_bench bench(0);
   bench.Open(7, 1);
--- a/Tests/core/core_benchmark.cc
+++ b/Tests/core/core_benchmark.cc
@@ -178,7 +178,7 @@
     const std::string& bytes = datagrams[next++ % datagrams.size()];
     packet decoded;
     DecodePacket(bytes, decoded);
-    bench.core.OnCallerPacket(kStart, kService, {1, 1}, decoded, bytes);
+    bench.core.OnCallerPacket(kStart, kStart, kService, {1, 1}, decoded, bytes);
   }
   state.counters["allocations"] =
       benchmark::Counter(static_cast<double>(g_allocations - before) /
@@ -198,7 +198,7 @@
     packet decoded;
     DecodePacket(bytes, decoded);
     decoded.flow = {flow};
-    bench.core.OnCallerPacket(now, kService, {1, 1}, decoded, bytes);
+    bench.core.OnCallerPacket(now, now, kService, {1, 1}, decoded, bytes);
   };
   for (std::int64_t index = 0; index < state.range(0); ++index) {
     const target_id id = TargetIdOf("target-" + std::to_string(index));
@@ -229,7 +229,7 @@
     DecodePacket(bytes, decoded);
     decoded.flow = {++flow};
     now += 100us;
-    bench.core.OnCallerPacket(now, kService, {1, 1}, decoded, bytes);
+    bench.core.OnCallerPacket(now, now, kService, {1, 1}, decoded, bytes);
   }
 }
 
--- a/Tests/core/promise_test.cc
+++ b/Tests/core/promise_test.cc
@@ -191,6 +191,20 @@
   CheckAllAnswered(world);
 }
 
+TEST_CASE("an entry that sleeps for 20 s does no harm when it wakes") {
+  virtual_world world(OptionsWithSeed(13));
+  world.CloseWhenDone();
+  mixed_load load(world, 13, 10ms);
+  load.Run(30s);
+  world.RunFor(2s);
+  world.FreezeEntry(0);
+  world.RunFor(20s);
+  world.ThawEntry(0);
+  world.RunFor(40s);
+  CHECK(world.Counters().Get(result_code::stale_datagram) > 0);
+  CheckAllAnswered(world);
+}
+
 TEST_CASE("a killed agent leaves only its own work in doubt") {
   virtual_world world(OptionsWithSeed(8));
   world.CloseWhenDone();
--- a/Tests/core/virtual_agents.cc
+++ b/Tests/core/virtual_agents.cc
@@ -25,8 +25,8 @@
                                    const std::string& bytes) {
   agent_node& node = *agents_[index];
   if (node.frozen) {
-    node.deferred.push_back([this, index, from, bytes] {
-      ProcessAtAgent(index, agents_[index]->frozen_at, from, bytes);
+    node.deferred.push_back([this, index, from, bytes, arrived_at = now_] {
+      ProcessAtAgent(index, arrived_at, from, bytes);
     });
     return;
   }
@@ -44,7 +44,7 @@
     return;
   }
   if (header.kind == envelope_kind::load_report) {
-    node.core->OnLoadReport(now_, from, header);
+    node.core->OnLoadReport(now_, arrived_at, from, header);
     return;
   }
   packet value;
@@ -196,7 +196,6 @@
 
 void virtual_world::FreezeAgent(std::size_t index) {
   agents_[index]->frozen = agents_[index]->core != nullptr;
-  agents_[index]->frozen_at = now_;
 }
 
 void virtual_world::ThawAgent(std::size_t index) {
--- a/Tests/core/virtual_nodes.h
+++ b/Tests/core/virtual_nodes.h
@@ -73,6 +73,9 @@
   virtual_world& world;
   std::size_t index;
   std::unique_ptr<target_picker> picker;
+  bool frozen = false;
+  /// What came while it was frozen, in the order of arrival.
+  std::vector<std::function<void()>> deferred;
   entry core;
 };
 
@@ -126,7 +129,6 @@
   backend_mode mode = backend_mode::works;
   std::uint32_t busy = 0;
   bool frozen = false;
-  time_point frozen_at;
   /// What came while it was frozen, in the order of arrival.
   std::vector<std::function<void()>> deferred;
   std::map<std::uint64_t, execution> running;
--- a/Tests/core/virtual_world.cc
+++ b/Tests/core/virtual_world.cc
@@ -166,17 +166,44 @@
   const std::size_t index = Draw() % entries_.size();
   Send("caller", "entry", options_.caller_hop, encoder_.Encode(value),
        [this, index](const std::string& bytes) {
-         if (dead_entries_.contains(index)) {
-           return;
-         }
-         packet decoded;
-         if (DecodePacket(bytes, decoded) == result_code::answered) {
-           entries_[index]->core.OnCallerPacket(now_, service_, {kCaller, 4000},
-                                                decoded, bytes);
-         }
+         DeliverToEntry(index, [this, index, bytes](time_point arrived_at) {
+           packet decoded;
+           if (DecodePacket(bytes, decoded) == result_code::answered) {
+             entries_[index]->core.OnCallerPacket(
+                 now_, arrived_at, service_, {kCaller, 4000}, decoded, bytes);
+           }
+         });
        });
 }
 
+void virtual_world::DeliverToEntry(
+    std::size_t index,
+    const std::function<void(time_point)>& deliver) {
+  entry_node& node = *entries_[index];
+  if (dead_entries_.contains(index)) {
+    return;
+  }
+  if (node.frozen) {
+    node.deferred.push_back(
+        [deliver, arrived_at = now_] { deliver(arrived_at); });
+  } else {
+    deliver(now_);
+  }
+}
+
+void virtual_world::FreezeEntry(std::size_t index) {
+  entries_[index]->frozen = true;
+}
+
+void virtual_world::ThawEntry(std::size_t index) {
+  entries_[index]->frozen = false;
+  const auto deferred = std::move(entries_[index]->deferred);
+  entries_[index]->deferred.clear();
+  for (const auto& action : deferred) {
+    action();
+  }
+}
+
 void virtual_world::DeliverEnvelope(const endpoint& from,
                                     const endpoint& to,
                                     const std::string& bytes) {
@@ -184,11 +211,13 @@
     return;
   }
   for (std::size_t index = 0; index < entries_.size(); ++index) {
-    if (EntryAddress(index) == to && !dead_entries_.contains(index)) {
-      envelope value;
-      if (DecodeEnvelope(bytes, value) == result_code::answered) {
-        entries_[index]->core.OnAgentEnvelope(now_, from, value);
-      }
+    if (EntryAddress(index) == to) {
+      DeliverToEntry(index, [this, index, from, bytes](time_point arrived_at) {
+        envelope value;
+        if (DecodeEnvelope(bytes, value) == result_code::answered) {
+          entries_[index]->core.OnAgentEnvelope(now_, arrived_at, from, value);
+        }
+      });
       return;
     }
   }
--- a/Tests/core/virtual_world.h
+++ b/Tests/core/virtual_world.h
@@ -100,6 +100,8 @@
   void DrainAgent(std::size_t index, drain_reason reason, bool active);
   void SetBackend(std::size_t index, backend_mode mode);
   void KillEntry(std::size_t index) { dead_entries_.insert(index); }
+  void FreezeEntry(std::size_t index);
+  void ThawEntry(std::size_t index);
   void StartEntry(std::size_t index) { dead_entries_.erase(index); }
   void Block(std::size_t first_agent, std::size_t second_agent, bool blocked);
   void BlockEntry(std::size_t entry, std::size_t agent, bool blocked);
@@ -143,6 +145,8 @@
             std::string_view bytes,
             std::function<void(std::string)> deliver);
   void SendToEntry(const packet& value);
+  void DeliverToEntry(std::size_t index,
+                      const std::function<void(time_point)>& deliver);
   void DeliverToAgent(std::size_t index,
                       const endpoint& from,
                       const std::string& bytes);
--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -36,9 +36,9 @@
   udp_socket sender(loop, {kLoopback, 0}, counted, nullptr);
   int received = 0;
   receiver.Receive(
-      [&](const endpoint& from, std::string_view datagram) {
-        CHECK(from == sender.Local());
-        CHECK(datagram == "datagram " + std::to_string(received));
+      [&](const received_datagram& datagram) {
+        CHECK(datagram.from == sender.Local());
+        CHECK(datagram.bytes == "datagram " + std::to_string(received));
         if (++received == 200) {
           loop.Stop();
         }
@@ -54,6 +54,33 @@
   CHECK(received == 200);
 }
 
+TEST_CASE("a datagram tells when it arrived, not when it was read") {
+  event_loop loop;
+  counters counted;
+  udp_socket receiver(loop, {kLoopback, 0}, counted, nullptr);
+  udp_socket sender(loop, {kLoopback, 0}, counted, nullptr);
+  time_point sent;
+  // The system may begin to take times only after some datagrams.
+  const auto send_and_sleep = [&] {
+    sender.Send(receiver.Local(), "datagram");
+    sender.Flush();
+    sent = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - sent < 20ms) {
+    }
+  };
+  receiver.Receive(
+      [&](const received_datagram& datagram) {
+        if (datagram.arrived_at < sent + 10ms) {
+          loop.Stop();
+        } else {
+          send_and_sleep();
+        }
+      },
+      [] {});
+  loop.Post(send_and_sleep);
+  RunWithLimit(loop);
+}
+
 TEST_CASE("an address in use is told") {
   event_loop loop;
   counters counted;
