--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -191,6 +191,8 @@
     case packet_kind::move:
       if (from_owner && state_ == caller_state::open) {
         StartResume(now, result_code::resumed_for_drain);
+      } else if (!from_owner && value.token) {
+        ReleaseUnused(*value.token);
       }
       return;
     default:
@@ -201,6 +203,10 @@
 void caller_flow::OnOpened(time_point now, const packet& value) {
   const bool waiting =
       state_ == caller_state::opening || state_ == caller_state::resuming;
+  if (!waiting && value.token && state_ == caller_state::open &&
+      *value.token != *token_) {
+    ReleaseUnused(*value.token);
+  }
   if (!waiting || !value.token || value.attempt < search_attempt_) {
     return;
   }
@@ -219,6 +225,18 @@
   }
 }
 
+void caller_flow::ReleaseUnused(const flow_token& token) {
+  const bool used = std::any_of(
+      pending_.begin(), pending_.end(), [&](const pending_request& request) {
+        return request.token && *request.token == token;
+      });
+  if (!used) {
+    packet close = Header(packet_kind::close);
+    close.token = token;
+    effects_.Send(close);
+  }
+}
+
 void caller_flow::MoveToToken(time_point now,
                               const packet& value,
                               flow_token old) {
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -114,6 +114,7 @@
   void SendUnsent(time_point now);
   void OnOpened(time_point now, const packet& value);
   void MoveToToken(time_point now, const packet& value, flow_token old);
+  void ReleaseUnused(const flow_token& token);
   void OnAnswer(time_point now, const packet& value);
   void OnRefused(time_point now, const packet& value);
   void OnOpenRefused(time_point now, const packet& value);
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -488,6 +488,33 @@
   std::vector<request_outcome> outcomes;
 };
 
+TEST_CASE("a caller gives back a second reservation, but none that it uses") {
+  recorded_caller effects;
+  retry_budget budget(0.2, 10);
+  counters counted;
+  caller_flow flow(kService, {7}, effects, budget, counted);
+  request_spec spec;
+  spec.request_id = 1;
+  spec.timeout = 60s;
+  flow.Submit(kStart, spec);
+  packet opened;
+  opened.kind = packet_kind::opened;
+  opened.flow = {7};
+  opened.attempt = 1;
+  opened.token = TokenOf(0, 7);
+  flow.OnPacket(kStart, opened);
+  const std::size_t sent = effects.sent.size();
+  // The same agent again: a copy, nothing to give back.
+  flow.OnPacket(kStart, opened);
+  CHECK(effects.sent.size() == sent);
+  opened.token = TokenOf(1, 7);
+  flow.OnPacket(kStart, opened);
+  REQUIRE(effects.sent.size() == sent + 1);
+  CHECK(effects.sent.back().kind == packet_kind::close);
+  CHECK(effects.sent.back().token == TokenOf(1, 7));
+  CHECK(flow.Target() == TokenOf(0, 7).target);
+}
+
 TEST_CASE("a caller takes no answer to an open of an earlier resumption") {
   recorded_caller effects;
   retry_budget budget(0.2, 10);
