--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -16,8 +16,6 @@
 constexpr int kSilentSends = 4;
 /// How long the end of a cancelled request is waited for.
 constexpr auto kCancelGrace = 1500ms;
-/// How long a flow looks for a target.
-constexpr auto kOpenLimit = 30s;
 constexpr auto kPingPeriod = 8s;
 constexpr int kMaxTries = 6;
 
@@ -45,7 +43,7 @@
   value.service = service_;
   value.flow = flow_;
   value.token = token_;
-  value.attempt = attempt_;
+  value.attempt = search_.Attempt();
   value.oldest_sequence = OldestSequence();
   return value;
 }
@@ -80,21 +78,19 @@
     Finish(now, std::prev(pending_.end()), result_code::no_target);
   } else if (state_ == caller_state::open) {
     SendUnsent(now);
-  } else if (state_ == caller_state::opening && open_sends_ == 0) {
-    opening_since_ = now;
+  } else if (state_ == caller_state::opening && !search_.HasBegun()) {
+    search_.Begin(now, result_code::answered);
     SendOpen(now);
   }
 }
 
 void caller_flow::SendOpen(time_point now) {
-  ++attempt_;
-  if (++open_sends_ > 1) {
+  if (search_.OnSend(now, jitter_)) {
     counters_.Add(result_code::open_repeated);
   }
   packet open = Header(packet_kind::open);
   open.sequence = next_sequence_;
-  open.code = resume_reason_;
-  next_open_ = now + jitter_.Spread(RepeatWait(open_sends_));
+  open.code = search_.Reason();
   effects_.Send(open);
 }
 
@@ -207,14 +203,13 @@
       *value.token != *token_) {
     ReleaseUnused(*value.token);
   }
-  if (!waiting || !value.token || value.attempt < search_attempt_) {
+  if (!waiting || !value.token || !search_.Includes(value.attempt)) {
     return;
   }
   const std::optional<flow_token> old = token_;
   token_ = value.token;
   state_ = caller_state::open;
-  open_sends_ = 0;
-  open_refusal_ = result_code::open_timeout;
+  search_.End();
   heard_at_ = now;
   next_ping_ = now + kPingPeriod;
   if (old && *old != *token_) {
@@ -325,11 +320,10 @@
 void caller_flow::OnOpenRefused(time_point now, const packet& value) {
   const bool waiting =
       state_ == caller_state::opening || state_ == caller_state::resuming;
-  if (!waiting || value.attempt != attempt_) {
-    return;
+  if (waiting) {
+    search_.OnRefused(now, value.attempt, value.code,
+                      jitter_.Spread(value.time));
   }
-  open_refusal_ = value.code;
-  next_open_ = now + jitter_.Spread(value.time);
 }
 
 bool caller_flow::MayRetry(time_point now,
@@ -384,10 +378,7 @@
     counters_.Add(reason);
   }
   state_ = caller_state::resuming;
-  resume_reason_ = reason;
-  search_attempt_ = attempt_ + 1;
-  opening_since_ = now;
-  open_sends_ = 0;
+  search_.Begin(now, reason);
   SendOpen(now);
 }
 
@@ -444,14 +435,9 @@
 }
 
 void caller_flow::TickOpening(time_point now) {
-  if (open_sends_ == 0) {
-    return;
-  }
-  if (now - opening_since_ >= kOpenLimit) {
+  if (search_.IsOver(now)) {
     GiveUp(now);
-    return;
-  }
-  if (now >= next_open_) {
+  } else if (search_.IsDue(now)) {
     SendOpen(now);
   }
 }
@@ -475,7 +461,7 @@
   if (!request->token) {
     const bool refused = state_ != caller_state::open;
     Finish(now, request,
-           refused ? open_refusal_ : result_code::deadline_passed);
+           refused ? search_.Refusal() : result_code::deadline_passed);
     return;
   }
   if (!request->cancelling) {
@@ -495,7 +481,7 @@
 
 void caller_flow::GiveUp(time_point now) {
   const bool was_open = token_.has_value();
-  const result_code refusal = open_refusal_;
+  const result_code refusal = search_.Refusal();
   state_ = caller_state::broken;
   pending_list given_up;
   given_up.swap(pending_);
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -15,6 +15,7 @@
 #include "core/pending_request.h"
 #include "core/retry_budget.h"
 #include "core/retry_timing.h"
+#include "core/target_search.h"
 #include "core/verdict_queue.h"
 
 namespace corianderplank {
@@ -138,19 +139,11 @@
   counters& counters_;
   caller_state state_ = caller_state::opening;
   std::optional<flow_token> token_;
-  std::uint16_t attempt_ = 0;
-  /// First attempt of the present search for a target; answers to earlier ones
-  /// tell about an agent that the flow has left since.
-  std::uint16_t search_attempt_ = 1;
+  target_search search_;
   std::uint32_t next_sequence_ = 1;
   jitter_source jitter_;
-  int open_sends_ = 0;
-  time_point opening_since_;
-  time_point next_open_;
   time_point heard_at_;
   time_point next_ping_;
-  result_code open_refusal_ = result_code::open_timeout;
-  result_code resume_reason_ = result_code::answered;
   pending_list pending_;
   verdict_queue verdicts_;
   /// Latest sequence numbers that ended without an answer.
--- /dev/null
+++ b/Source/core/target_search.cc
@@ -0,0 +1,44 @@
+#include "core/target_search.h"
+
+namespace corianderplank {
+namespace {
+
+/// How long a flow looks for a target.
+constexpr std::chrono::seconds kLimit{30};
+
+}  // namespace
+
+void target_search::Begin(time_point now, result_code reason) {
+  first_ = attempt_ + 1;
+  sends_ = 0;
+  since_ = now;
+  reason_ = reason;
+}
+
+void target_search::End() {
+  sends_ = 0;
+  refusal_ = result_code::open_timeout;
+}
+
+bool target_search::OnSend(time_point now, jitter_source& jitter) {
+  ++attempt_;
+  ++sends_;
+  next_send_ = now + jitter.Spread(RepeatWait(sends_));
+  return sends_ > 1;
+}
+
+void target_search::OnRefused(time_point now,
+                              std::uint16_t attempt,
+                              result_code code,
+                              std::chrono::milliseconds wait) {
+  if (attempt == attempt_) {
+    refusal_ = code;
+    next_send_ = now + wait;
+  }
+}
+
+bool target_search::IsOver(time_point now) const {
+  return sends_ > 0 && now - since_ >= kLimit;
+}
+
+}  // namespace corianderplank
