--- a/Source/command/load_command.cc
+++ b/Source/command/load_command.cc
@@ -100,6 +100,7 @@
   }
   page["broken"] = totals.broken_flows;
   page["unfinished"] = totals.unfinished_flows;
+  page["most_open_flows"] = totals.most_open_flows;
   page["wrong_answers"] = totals.wrong_answers;
   page["feed_messages"] = totals.feed_messages;
   page["wrong_messages"] = totals.wrong_messages;
--- a/Source/command/load_run.cc
+++ b/Source/command/load_run.cc
@@ -1,5 +1,9 @@
 #include "command/load_run.h"
 
+#include <unistd.h>
+
+#include <iostream>
+
 #include <nlohmann/json.hpp>
 
 #include "caller/test_content.h"
@@ -52,7 +56,12 @@
   next_ = plan_.Next();
   loop_.Every(kTickPeriod, [this] { Tick(); });
   loop_.OnStopSignal([this] { loop_.Stop(); });
+  const bool watched = ::isatty(STDERR_FILENO) == 1;
+  if (watched) {
+    loop_.Every(std::chrono::seconds(1), [this] { ShowProgress(); });
+  }
   loop_.Run();
+  std::cerr << (watched ? "\n" : "");
   totals_.unfinished_flows = open_.size();
 }
 
@@ -61,8 +70,19 @@
                           kUploadWindow);
 }
 
+void load_run::ShowProgress() const {
+  const auto answered = totals_.outcomes.find(outcome_kind::answered);
+  std::cerr << "\rload: " << Elapsed() / std::chrono::seconds(1) << " s of "
+            << options_.duration.count() << ", " << open_.size()
+            << " flows open, "
+            << (answered == totals_.outcomes.end() ? 0 : answered->second)
+            << " answered   " << std::flush;
+}
+
 void load_run::Tick() {
   OpenDue();
+  totals_.most_open_flows =
+      std::max<std::uint64_t>(totals_.most_open_flows, open_.size());
   for (const flow_id flow : ended_) {
     caller_.Close(flow);
     open_.erase(flow);
--- a/Source/command/load_run.h
+++ b/Source/command/load_run.h
@@ -21,6 +21,7 @@
   std::uint64_t flows = 0;
   std::uint64_t broken_flows = 0;
   std::uint64_t unfinished_flows = 0;
+  std::uint64_t most_open_flows = 0;
   std::uint64_t wrong_answers = 0;
   std::uint64_t feed_messages = 0;
   std::uint64_t wrong_messages = 0;
@@ -72,6 +73,7 @@
 
   void Tick();
   void OpenDue();
+  void ShowProgress() const;
   void SubmitNext(open_flow& flow);
   void CheckAnswer(open_flow& flow, const request_outcome& outcome);
   void WriteOutcome(const open_flow& flow, const request_outcome& outcome);
--- a/Tests/core/core_benchmark.cc
+++ b/Tests/core/core_benchmark.cc
@@ -315,6 +315,51 @@
   }
 }
 
+/// One tick of an agent that holds idle flows; sweeps come every 100 ms.
+void AgentTick(benchmark::State& state) {
+  counters counted;
+  null_agent_effects effects;
+  agent_identity identity;
+  identity.target = TargetIdOf("target-0");
+  identity.service = kService;
+  agent core(identity, effects, counted);
+  core.Configure(kStart, MakeDocument(1), {});
+  std::vector<packet> pings;
+  time_point now = kStart;
+  const auto deliver = [&](const packet& value) {
+    envelope header;
+    header.service = kService;
+    core.OnPacket(now, now, header, value);
+  };
+  for (std::int64_t flow = 1; flow <= state.range(0); ++flow) {
+    packet value;
+    value.kind = packet_kind::open;
+    value.service = kService;
+    value.flow = {static_cast<std::uint64_t>(flow)};
+    deliver(value);
+    value.kind = packet_kind::ping;
+    value.token = effects.token;
+    pings.push_back(value);
+  }
+  constexpr int kTicksOfLease = 900;
+  int tick = 0;
+  for (auto _ : state) {
+    now += 5ms;
+    core.Tick(now);
+    if (++tick % kTicksOfLease == 0) {
+      state.PauseTiming();
+      for (const packet& ping : pings) {
+        deliver(ping);
+      }
+      state.ResumeTiming();
+    }
+  }
+  if (core.Summary().flows != pings.size()) {
+    state.SkipWithError("flows were lost");
+  }
+}
+
+BENCHMARK(AgentTick)->Arg(0)->Arg(4000);
 BENCHMARK(CodecOnly);
 BENCHMARK(EntryForwardsRequest)->Arg(kFew)->Arg(kMany);
 BENCHMARK(EntryPlacesOpen)->Arg(kFew)->Arg(kMany);
--- a/Utilities/demo/__main__.py
+++ b/Utilities/demo/__main__.py
@@ -122,7 +122,7 @@
 
 def print_result(result):
     print(f"{'flows':<24}{result['flows']}")
-    for key in ("answered", "not_run", "outcome_unknown", "broken", "feed_messages", "idempotent_repeated",
+    for key in ("most_open_flows", "answered", "not_run", "outcome_unknown", "broken", "feed_messages", "idempotent_repeated",
                 "false_not_run", "missing_uploads", "wrong_answers", "wrong_messages", "unfinished"):
         print(f"{key:<24}{result[key]}")
     for reason, count in result["reasons"].items():
--- a/Utilities/demo/analysis.py
+++ b/Utilities/demo/analysis.py
@@ -92,7 +92,7 @@
         mean, high = summary_of(imbalance_of(layout, records, service))
         result["imbalance"][service.name] = {"mean": round(mean, 3), "p99": round(high, 3)}
     for key in ("answered", "not_run", "outcome_unknown", "broken", "unfinished", "wrong_answers", "wrong_messages",
-                "flows", "feed_messages", "reasons", "counters", "latency"):
+                "flows", "most_open_flows", "feed_messages", "reasons", "counters", "latency"):
         result[key] = load.get(key)
     return result
 
--- a/Utilities/demo/scenarios.py
+++ b/Utilities/demo/scenarios.py
@@ -346,6 +346,15 @@
             "requests": 0.5, "uploads": 0.1, "service-ms": 20}
 
 
+    def check(self, result):
+        wrong = []
+        if result["answered"] < 2000:
+            wrong.append(f"only {result['answered']} pieces of work were answered, wanted are 2,000")
+        if result["most_open_flows"] < 500:
+            wrong.append(f"only {result['most_open_flows']} flows were open at a time, wanted are 500")
+        return wrong
+
+
 class Storm(Scenario):
     """Several faults in a seeded order, together."""
 
