--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -65,9 +65,10 @@
 check build ninja -C "$build" --quiet
 check format check_format
 check lint check_lint
-for name in core wire net product imbalance core_cost; do
+for name in core wire net product imbalance class_share core_cost; do
   check "$name" ctest --test-dir "$build" --output-on-failure -R "^$name\$"
 done
+check command_pages Utilities/generate_command_pages.sh "$build" --check
 check sanitizers check_sanitizers
 check threads check_threads
 for scenario in steady rolling-restart agent-kill document-race; do
