--- a/Source/command/report_data.cc
+++ b/Source/command/report_data.cc
@@ -98,7 +98,7 @@
     report_event told;
     told.time_ms = life.last_told_ms;
     told.process = process;
-    told.service = life.service;
+    told.service = line.value("service", life.service);
     told.failure_domain = life.failure_domain;
     told.source = event == "verdict" ? "caller" : "agent";
     told.reason = line.at("reason").get<std::string>();
--- a/Source/command/report_printer.cc
+++ b/Source/command/report_printer.cc
@@ -250,7 +250,8 @@
         << " request " << event.request_id << " of " << event.service << ": "
         << event.outcome << ", " << event.reason << '\n';
   }
-  out << "\nrefusals and drops by service, failure domain and reason:\n";
+  out << "\nrefusals and drops by service, failure domain and reason (of each "
+         "process's whole life):\n";
   for (const reason_count& item : summary.refusals) {
     out << "  " << item.service << ' ' << item.failure_domain << ' '
         << item.reason << ": " << item.count << '\n';
--- a/Source/entry/entry_daemon.cc
+++ b/Source/entry/entry_daemon.cc
@@ -47,7 +47,14 @@
     std::shared_ptr<const instance_list> instances) {
   built_table_ = std::make_shared<const routing_table>(*document, *instances,
                                                        built_table_.get());
-  traffic_loop_.Post([this, table = built_table_] { UseTable(table); });
+  std::map<service_id, std::string> names;
+  for (const service& item : document->services) {
+    names[item.id] = item.name;
+  }
+  traffic_loop_.Post([this, table = built_table_, names = std::move(names)] {
+    service_names_ = names;
+    UseTable(table);
+  });
 }
 
 void entry_daemon::UseTable(const std::shared_ptr<const routing_table>& table) {
@@ -155,7 +162,7 @@
     LogEvent(log_level::warning, "verdict",
              {{"reason", std::string(ResultCodeName(event.code))},
               {"outcome", std::string(OutcomeName(OutcomeOf(event.code)))},
-              {"service", std::to_string(service.value)},
+              {"service", service_names_[service]},
               {"flow", std::to_string(event.flow.value)},
               {"request_id", std::to_string(event.request_id)}});
   }
--- a/Source/entry/entry_daemon.h
+++ b/Source/entry/entry_daemon.h
@@ -61,6 +61,7 @@
   std::unique_ptr<udp_socket> agent_socket_;
   std::map<service_id, std::unique_ptr<udp_socket>> service_sockets_;
   std::vector<udp_socket*> unflushed_;
+  std::map<service_id, std::string> service_names_;
   std::shared_ptr<const routing_table> table_;
   /// The control thread's copy of the table in use.
   std::shared_ptr<const routing_table> built_table_;
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -68,6 +68,7 @@
 for name in core wire net product imbalance class_share core_cost; do
   check "$name" ctest --test-dir "$build" --output-on-failure -R "^$name\$"
 done
+check command ctest --test-dir "$build" --output-on-failure -R '^command_'
 check command_pages Utilities/generate_command_pages.sh "$build" --check
 check sanitizers check_sanitizers
 check threads check_threads
