No reply and no callback of a control port outlives its owner

Cause: a daemon's end destroyed the control server while its traffic thread could still answer a fence, and the role while a reply could still come for it. Seen by reading; net_test 'a reply after the server's end does nothing' covers it, and net_test runs under the address sanitizer from now on.

--- a/Source/net/control_port.cc
+++ b/Source/net/control_port.cc
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-struct control_server::state {
+struct control_server::state : std::enable_shared_from_this<state> {
   struct worker {
     state* owner = nullptr;
     nng_ctx context{};
@@ -48,6 +48,19 @@
   nng_socket socket{};
   control_handler handler;
   std::vector<std::unique_ptr<worker>> workers;
+  /// Guards against replies that come while the server is destroyed.
+  std::mutex mutex;
+  bool closed = false;
+
+  void Reply(worker& self, const std::string& reply) {
+    const std::lock_guard lock(mutex);
+    if (closed) {
+      return;
+    }
+    self.replying = true;
+    nng_aio_set_msg(self.aio, MessageOf(reply));
+    nng_ctx_send(self.context, self.aio);
+  }
 
   static void OnEvent(void* argument) {
     auto* self = static_cast<worker*>(argument);
@@ -68,16 +81,18 @@
     nng_msg* message = nng_aio_get_msg(self->aio);
     std::string request = BytesOf(message);
     nng_msg_free(message);
-    self->owner->handler(std::move(request), [self](std::string reply) {
-      self->replying = true;
-      nng_aio_set_msg(self->aio, MessageOf(reply));
-      nng_ctx_send(self->context, self->aio);
-    });
+    self->owner->handler(
+        std::move(request),
+        [self, weak = self->owner->weak_from_this()](const std::string& reply) {
+          if (const std::shared_ptr<state> owner = weak.lock()) {
+            owner->Reply(*self, reply);
+          }
+        });
   }
 };
 
 control_server::control_server(const endpoint& local, control_handler handler)
-    : state_(std::make_unique<state>()) {
+    : state_(std::make_shared<state>()) {
   state_->handler = std::move(handler);
   nng_rep0_open(&state_->socket);
   nng_socket_set_size(state_->socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
@@ -99,6 +114,10 @@
 }
 
 control_server::~control_server() {
+  {
+    const std::lock_guard lock(state_->mutex);
+    state_->closed = true;
+  }
   nng_close(state_->socket);
   for (auto& worker : state_->workers) {
     nng_aio_stop(worker->aio);
@@ -158,6 +177,11 @@
     }
   }
 
+  bool IsClosing() {
+    const std::lock_guard lock(mutex);
+    return closing;
+  }
+
   void FreeFinished() {
     std::vector<std::unique_ptr<call>> done;
     {
@@ -203,12 +227,18 @@
 }
 
 control_client::~control_client() {
-  for (auto& [address, peer] : state_->peers) {
-    nng_close(peer.socket);
-  }
+  Close();
+}
+
+void control_client::Close() {
   std::vector<nng_aio*> waiting;
   {
     const std::lock_guard lock(state_->mutex);
+    state_->closing = true;
+    for (auto& [address, peer] : state_->peers) {
+      nng_close(peer.socket);
+    }
+    state_->peers.clear();
     for (auto& [pointer, item] : state_->active) {
       waiting.push_back(item->aio);
     }
@@ -224,7 +254,9 @@
                              std::chrono::milliseconds timeout,
                              control_callback callback) {
   state_->FreeFinished();
-  if (state_->impaired != nullptr && state_->impaired->IsBlocked(to)) {
+  const bool blocked =
+      state_->impaired != nullptr && state_->impaired->IsBlocked(to);
+  if (blocked || state_->IsClosing()) {
     callback(std::nullopt);
     return;
   }
--- a/Source/net/control_port.h
+++ b/Source/net/control_port.h
@@ -34,7 +34,7 @@
 
  private:
   struct state;
-  std::unique_ptr<state> state_;
+  std::shared_ptr<state> state_;
 };
 
 /// Sends requests to the control ports of peers.
@@ -55,6 +55,10 @@
                std::chrono::milliseconds timeout,
                control_callback callback);
 
+  /// Ends every request; their callbacks have run when it returns, and later
+  /// requests get no reply.
+  void Close();
+
  private:
   struct state;
   std::unique_ptr<state> state_;
--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -194,6 +194,31 @@
   CHECK(second != client_status::lost);
 }
 
+TEST_CASE("a reply after the server's end does nothing") {
+  control_reply late;
+  std::promise<void> asked;
+  auto server = std::make_unique<control_server>(
+      ServerAddress(6), [&](const std::string&, control_reply reply) {
+        late = std::move(reply);
+        asked.set_value();
+      });
+  control_client client(nullptr);
+  std::promise<bool> replied;
+  client.Request(ServerAddress(6), "request", 5s, [&](const auto& reply) {
+    replied.set_value(reply.has_value());
+  });
+  asked.get_future().wait();
+  server.reset();
+  late("too late");
+  client.Close();
+  CHECK_FALSE(replied.get_future().get());
+  // A closed client answers at once.
+  bool answered = false;
+  client.Request(ServerAddress(6), "request", 5s,
+                 [&](const auto& reply) { answered = reply.has_value(); });
+  CHECK_FALSE(answered);
+}
+
 TEST_CASE("control requests are answered, and time out without an answer") {
   control_server server(ServerAddress(4),
                         [](std::string request, control_reply reply) {
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -41,14 +41,15 @@
     xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
 }
 
-# Core and wire under the address and undefined-behaviour sanitizers.
+# Core, wire and net under the address and undefined-behaviour sanitizers.
 check_sanitizers() {
   cmake -S . -B "$build-address" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
     -DCORIANDERPLANK_SANITIZE=address,undefined >/dev/null &&
-    ninja -C "$build-address" core_test wire_test >/dev/null &&
+    ninja -C "$build-address" core_test wire_test net_test >/dev/null &&
     UBSAN_OPTIONS=halt_on_error=1 RC_PARAMS="seed=7 max_success=25" \
       "$build-address/Tests/core_test" &&
-    UBSAN_OPTIONS=halt_on_error=1 "$build-address/Tests/wire_test"
+    UBSAN_OPTIONS=halt_on_error=1 "$build-address/Tests/wire_test" &&
+    UBSAN_OPTIONS=halt_on_error=1 "$build-address/Tests/net_test"
 }
 
 # The hand-over between control and traffic threads of both daemons.
