--- a/Source/core/agent.cc
+++ b/Source/core/agent.cc
@@ -156,7 +156,11 @@
       Answer(*flow, packet_kind::pong);
       break;
     case packet_kind::close:
-      requests_.Abandon(*flow);
+      if (value.code == result_code::answered) {
+        requests_.Abandon(*flow);
+      } else {
+        requests_.Expire(*flow);
+      }
       state_.flows.Remove(value.flow);
       break;
     default:
--- a/Source/core/caller_flow.cc
+++ b/Source/core/caller_flow.cc
@@ -157,6 +157,9 @@
     if (value.kind != packet_kind::refused && value.token) {
       packet close = Header(packet_kind::close);
       close.token = value.token;
+      if (EndedWithoutAnswer(value)) {
+        close.code = result_code::answer_timeout;
+      }
       effects_.Send(close);
     }
     return;
@@ -260,6 +263,12 @@
   }
 }
 
+bool caller_flow::EndedWithoutAnswer(const packet& value) const {
+  return value.kind == packet_kind::answer &&
+         std::find(unanswered_.begin(), unanswered_.end(), value.sequence) !=
+             unanswered_.end();
+}
+
 void caller_flow::OnAnswer(time_point now, const packet& value) {
   const auto request = FindSequence(value.sequence);
   if (request == pending_.end()) {
@@ -267,9 +276,7 @@
     done.token = value.token;
     done.sequence = value.sequence;
     done.fragment = value.fragment + 1;
-    const bool ended_without = std::find(unanswered_.begin(), unanswered_.end(),
-                                         value.sequence) != unanswered_.end();
-    if (ended_without) {
+    if (EndedWithoutAnswer(value)) {
       done.code = result_code::answer_timeout;
     }
     effects_.Send(done);
--- a/Source/core/caller_flow.h
+++ b/Source/core/caller_flow.h
@@ -116,6 +116,7 @@
   void OnOpened(time_point now, const packet& value);
   void MoveToToken(time_point now, const packet& value, flow_token old);
   void ReleaseUnused(const flow_token& token);
+  bool EndedWithoutAnswer(const packet& value) const;
   void OnAnswer(time_point now, const packet& value);
   void OnRefused(time_point now, const packet& value);
   void OnOpenRefused(time_point now, const packet& value);
--- a/Source/net/control_port.cc
+++ b/Source/net/control_port.cc
@@ -195,8 +195,9 @@
     }
   }
 
+  // On the requester's thread only, like all use of `peers`: nng_close waits
+  // for events, and an event takes the lock.
   nng_socket SocketFor(const endpoint& to) {
-    const std::lock_guard lock(mutex);
     const auto found = peers.find(to);
     if (found != peers.end()) {
       found->second.used = ++uses;
@@ -232,20 +233,22 @@
 
 void control_client::Close() {
   std::vector<nng_aio*> waiting;
+  std::map<endpoint, state::peer> peers;
   {
     const std::lock_guard lock(state_->mutex);
     state_->closing = true;
-    for (auto& [address, peer] : state_->peers) {
-      nng_close(peer.socket);
-    }
-    state_->peers.clear();
+    peers.swap(state_->peers);
     for (auto& [pointer, item] : state_->active) {
       waiting.push_back(item->aio);
     }
   }
+  // Without the lock: both wait for events, and an event takes the lock.
   for (nng_aio* aio : waiting) {
     nng_aio_stop(aio);
   }
+  for (auto& [address, peer] : peers) {
+    nng_close(peer.socket);
+  }
   state_->FreeFinished();
 }
 
--- a/Tests/core/agent_test.cc
+++ b/Tests/core/agent_test.cc
@@ -351,6 +351,12 @@
           value.fragment = 1;
           bench.Deliver(value);
         }) == 1);
+  // Closed by a caller that had ended the work before its answer came.
+  CHECK(answered_after([](agent_bench& bench, packet value) {
+          value.kind = packet_kind::close;
+          value.code = result_code::answer_timeout;
+          bench.Deliver(value);
+        }) == 0);
   // Its caller went on without it: silence, or a late acknowledgement.
   CHECK(answered_after([](agent_bench& bench, packet) {
           for (time_point now = kStart; now < kStart + 40s; now += 100ms) {
@@ -515,6 +521,35 @@
   CHECK(flow.Target() == TokenOf(0, 7).target);
 }
 
+TEST_CASE("a closed flow says of a late answer that nobody waited for it") {
+  recorded_caller effects;
+  retry_budget budget(0.2, 10);
+  counters counted;
+  caller_flow flow(kService, {7}, effects, budget, counted);
+  request_spec spec;
+  spec.request_id = 1;
+  spec.timeout = 1000ms;
+  flow.Submit(kStart, spec);
+  packet value;
+  value.kind = packet_kind::opened;
+  value.flow = {7};
+  value.attempt = 1;
+  value.token = TokenOf(0, 7);
+  flow.OnPacket(kStart, value);
+  for (time_point now = kStart; now < kStart + 4s; now += 5ms) {
+    flow.Tick(now);
+  }
+  REQUIRE(effects.outcomes.size() == 1);
+  CHECK(effects.outcomes[0].code == result_code::answer_timeout);
+  flow.Close();
+  value.kind = packet_kind::answer;
+  value.sequence = 1;
+  value.last = true;
+  flow.OnPacket(kStart + 5s, value);
+  CHECK(effects.sent.back().kind == packet_kind::close);
+  CHECK(effects.sent.back().code == result_code::answer_timeout);
+}
+
 TEST_CASE("a caller takes no answer to an open of an earlier resumption") {
   recorded_caller effects;
   retry_budget budget(0.2, 10);
--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <future>
 
 #include "net/control_port.h"
@@ -219,6 +220,21 @@
   CHECK_FALSE(answered);
 }
 
+TEST_CASE("more peers than connections are kept, and an end under way") {
+  control_server server(ServerAddress(7),
+                        [](std::string, control_reply) { /* No answer. */ });
+  control_client client(nullptr);
+  std::atomic<int> ended = 0;
+  constexpr int kPeers = 150;
+  for (int peer = 0; peer < kPeers; ++peer) {
+    const endpoint to =
+        peer % 2 == 0 ? ServerAddress(7) : endpoint{0x7f000600U + peer, 6001};
+    client.Request(to, "request", 10s, [&](const auto&) { ++ended; });
+  }
+  client.Close();
+  CHECK(ended == kPeers);
+}
+
 TEST_CASE("control requests are answered, and time out without an answer") {
   control_server server(ServerAddress(4),
                         [](std::string request, control_reply reply) {
