--- a/Utilities/demo/scenarios.py
+++ b/Utilities/demo/scenarios.py
@@ -1,7 +1,9 @@
 """What happens to a set-up while the load runs."""
 
+import json
 import random
 import signal
+import socket
 import time
 
 from . import layout as layouts
@@ -355,6 +357,47 @@
         return wrong
 
 
+class BadInput(Scenario):
+    """Random bytes of many sizes at the ports of an entry and an agent."""
+
+    name = "bad-input"
+    datagrams = 20000
+
+    def disturb(self, seconds):
+        entry = self.fleet.layout.entries[0]
+        target = self.first.targets[0]
+        ports = ((entry.host, self.first.port), (entry.host, layouts.DATA_PORT), (target.host, layouts.DATA_PORT))
+        answers = 0
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.bind(("127.0.0.1", 0))
+            sender.setblocking(False)
+            for number in range(self.datagrams):
+                sender.sendto(self.random.randbytes(self.random.choice((0, 1, 40, 200, 1400, 2000))),
+                              ports[number % len(ports)])
+                if number % 200 == 0:
+                    time.sleep(0.01)
+            time.sleep(1)
+            try:
+                while sender.recv(2048):
+                    answers += 1
+            except BlockingIOError:
+                pass
+        self.notes["answers"] = answers
+        dropped = 0
+        for host in (entry.host, target.host):
+            counters = json.loads(self.fleet.admin(host, "/metrics.json")[1])["counters"]
+            dropped += counters.get("malformed", 0) + counters.get("oversized", 0)
+        self.notes["dropped"] = dropped
+
+    def check(self, result):
+        wrong = []
+        if self.notes["answers"] > 0:
+            wrong.append(f"{self.notes['answers']} datagrams came back for random bytes")
+        if self.notes["dropped"] != self.datagrams:
+            wrong.append(f"{self.notes['dropped']} of {self.datagrams} datagrams were counted as dropped")
+        return wrong
+
+
 class Storm(Scenario):
     """Several faults in a seeded order, together."""
 
@@ -420,4 +463,4 @@
 
 SCENARIOS = {kind.name: kind for kind in (
     Scenario, EntryKill, DomainKill, AgentKill, BackendKill, BackendDrain, RollingRestart, PlatformOutage, PlatformLimit, Freeze, Partition,
-    DocumentRace, LyingHealth, Overload, Lossy, Storm)}
+    DocumentRace, LyingHealth, Overload, BadInput, Lossy, Storm)}
