--- a/Utilities/demo/scenarios.py
+++ b/Utilities/demo/scenarios.py
@@ -407,7 +407,8 @@
 
     def disturb(self, seconds):
         fleet = self.fleet
-        steps = [self.kill_entry, self.kill_agent, self.drain, self.outage, self.freeze, self.cut, self.restart]
+        steps = [self.kill_entry, self.kill_agent, self.drain, self.outage, self.freeze, self.cut, self.restart,
+                 self.lie, self.race]
         self.random.shuffle(steps)
         self.notes["order"] = [step.__name__ for step in steps]
         pause = (seconds - 6) / len(steps)
@@ -454,6 +455,19 @@
         self.fleet.block({target.name: others})
         return lambda: self.fleet.block({target.name: []})
 
+    def lie(self):
+        target = self.first.targets[5]
+        self.fleet.backend_control(target, "sheds_all", True)
+        return lambda: self.fleet.backend_control(target, "sheds_all", False)
+
+    def race(self):
+        base = self.fleet.revision
+        for step in (2, 1, 4, 3):
+            text = layouts.document_text(self.fleet.layout, comment=f"operator {step % 2}, revision {base + step}")
+            self.fleet.publish_document(text, revision=base + step)
+        self.fleet.revision = base + 4
+        return None
+
     def restart(self):
         target = self.first.targets[4]
         self.fleet.terminate(target.name)
