One entry reads the store for the whole fleet; relays pass its news on

Cause: groups of 16 did not exist as such. Members that seeds named to each other also never expired. Ruled out: pages of the list (one page a read), watches (none wait). Now a reader's update goes to 16 entries, which pass it on; parts carry up to 192 rows; a failing source is tried 25 times a second by 59 entries.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -640,7 +640,8 @@
     VT_CONFIGURATION_REVISION = 14,
     VT_HOLDERS_KNOWN_MS = 16,
     VT_CONFIGURATION = 18,
-    VT_TARGETS = 20
+    VT_TARGETS = 20,
+    VT_READER = 22
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -669,6 +670,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<corianderplank::schema::Target>> *targets() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<corianderplank::schema::Target>> *>(VT_TARGETS);
   }
+  uint32_t reader() const {
+    return GetField<uint32_t>(VT_READER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -683,6 +687,7 @@
            VerifyOffset(verifier, VT_TARGETS) &&
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
+           VerifyField<uint32_t>(verifier, VT_READER, 4) &&
            verifier.EndTable();
   }
 };
@@ -718,6 +723,9 @@
   void add_targets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corianderplank::schema::Target>>> targets) {
     fbb_.AddOffset(Belief::VT_TARGETS, targets);
   }
+  void add_reader(uint32_t reader) {
+    fbb_.AddElement<uint32_t>(Belief::VT_READER, reader, 0);
+  }
   explicit BeliefBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -739,12 +747,14 @@
     uint64_t configuration_revision = 0,
     uint32_t holders_known_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> configuration = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corianderplank::schema::Target>>> targets = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corianderplank::schema::Target>>> targets = 0,
+    uint32_t reader = 0) {
   BeliefBuilder builder_(_fbb);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_configuration_version(configuration_version);
   builder_.add_revision(revision);
   builder_.add_base_revision(base_revision);
+  builder_.add_reader(reader);
   builder_.add_targets(targets);
   builder_.add_configuration(configuration);
   builder_.add_holders_known_ms(holders_known_ms);
@@ -763,7 +773,8 @@
     uint64_t configuration_revision = 0,
     uint32_t holders_known_ms = 0,
     const std::vector<uint8_t> *configuration = nullptr,
-    const std::vector<flatbuffers::Offset<corianderplank::schema::Target>> *targets = nullptr) {
+    const std::vector<flatbuffers::Offset<corianderplank::schema::Target>> *targets = nullptr,
+    uint32_t reader = 0) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<corianderplank::schema::Target>>(*targets) : 0;
   return corianderplank::schema::CreateBelief(
@@ -776,7 +787,8 @@
       configuration_revision,
       holders_known_ms,
       configuration__,
-      targets__);
+      targets__,
+      reader);
 }
 
 }  // namespace schema
--- a/Source/core/fleet_belief.cc
+++ b/Source/core/fleet_belief.cc
@@ -29,8 +29,38 @@
          left.gone == right.gone;
 }
 
+/// Age of an update that confirms nothing.
+constexpr milliseconds kConfirmsNothing = 1h;
+
 }  // namespace
 
+std::vector<belief_update> SplitUpdate(belief_update update,
+                                       std::size_t most_rows) {
+  std::vector<fleet_target> rows = std::move(update.targets);
+  std::sort(rows.begin(), rows.end(), [](const auto& left, const auto& right) {
+    return left.revision < right.revision;
+  });
+  std::vector<belief_update> parts;
+  auto begin = rows.begin();
+  do {
+    const auto left = static_cast<std::size_t>(rows.end() - begin);
+    const auto end =
+        begin + static_cast<std::ptrdiff_t>(std::min(left, most_rows));
+    belief_update part = update;
+    part.targets.assign(begin, end);
+    if (!parts.empty()) {
+      part.base_revision = parts.back().revision;
+    }
+    if (end != rows.end()) {
+      part.revision = part.targets.back().revision;
+      part.age = kConfirmsNothing;
+    }
+    parts.push_back(std::move(part));
+    begin = end;
+  } while (begin != rows.end());
+  return parts;
+}
+
 void fleet_belief::Confirm(time_point now,
                            time_point began,
                            std::uint64_t revision) {
--- a/Source/core/fleet_belief.h
+++ b/Source/core/fleet_belief.h
@@ -23,6 +23,14 @@
   std::chrono::milliseconds return_grace{2000};
 };
 
+/// Splits an update into parts of some rows each, in the order of their
+/// changes. Only the last one confirms.
+/// @param update rows since a revision above 0.
+/// @param most_rows rows of a part at the most, more than 0.
+/// @return the parts; one when there are few rows.
+std::vector<belief_update> SplitUpdate(belief_update update,
+                                       std::size_t most_rows);
+
 /// How a peer's update fits.
 enum class update_fit : std::uint8_t {
   taken,  ///< Rows and confirmation were taken.
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -93,7 +93,8 @@
   std::vector<std::uint32_t> flows;
   /// Flows: the agent has no others.
   bool complete = false;
-  /// Members: addresses of entries.
+  /// Members: addresses of entries. Belief: entries that the receiver passes
+  /// the message on to.
   std::vector<std::uint32_t> members;
   /// Members: agents whose targets are not listed, with their services.
   std::vector<present_agent> unlisted;
@@ -105,6 +106,8 @@
 
 /// Rows that changed after `base_revision`, as one entry read them.
 struct belief_update {
+  /// The entry that has read it.
+  std::uint32_t reader = 0;
   std::uint64_t base_revision = 0;
   std::uint64_t revision = 0;
   /// Time from the begin of the read to the sending of the update.
--- a/Source/core/reader_schedule.cc
+++ b/Source/core/reader_schedule.cc
@@ -8,18 +8,24 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t kMaxDoublings = 4;
+/// Peers among which one try to reach a failing source each second is enough:
+/// whoever succeeds tells all.
+constexpr std::size_t kPeersPerTry = 8;
+/// A wanted read is put off no longer than that.
+constexpr milliseconds kMaxWantedSpread{100};
 
 }  // namespace
 
-milliseconds reader_schedule::Spread() {
+milliseconds reader_schedule::Draw(milliseconds range) {
   const std::uint64_t draw = MixHash(self_, ++draws_);
-  const auto range = static_cast<std::uint64_t>(periods_.spread.count()) + 1;
-  return milliseconds(static_cast<std::int64_t>(draw % range));
+  const auto values = static_cast<std::uint64_t>(range.count()) + 1;
+  return milliseconds(static_cast<std::int64_t>(draw % values));
 }
 
 bool reader_schedule::IsDue(time_point now) const {
   const bool wanted = confirmed_at_ < wanted_since_ &&
-                      now >= confirmed_at_ + periods_.wanted && failures_ == 0;
+                      now >= confirmed_at_ + periods_.wanted &&
+                      now >= wanted_at_ && failures_ == 0;
   return !in_flight_ && (wanted || now >= due_at_);
 }
 
@@ -40,7 +46,9 @@
   reading_ = false;
   const milliseconds pause =
       periods_.retry * (1 << std::min(failures_++, kMaxDoublings));
-  due_at_ = now + std::min(pause, periods_.silence) + Spread() / 2;
+  const auto sharers = static_cast<std::int64_t>(1 + peers_ / kPeersPerTry);
+  due_at_ = now + std::min(pause, periods_.silence * sharers) +
+            Draw(periods_.spread * sharers) / 2;
 }
 
 void reader_schedule::OnPeerRead(time_point now,
@@ -54,12 +62,16 @@
     return;
   }
   reading_ = false;
-  due_at_ = std::max(due_at_, now - age + periods_.silence + Spread());
+  due_at_ =
+      std::max(due_at_, now - age + periods_.silence + Draw(periods_.spread));
 }
 
 void reader_schedule::OnConfirmationWanted(time_point now) {
   if (confirmed_at_ >= wanted_since_) {
     wanted_since_ = now;
+    wanted_at_ = now + Draw(std::min(periods_.wanted_spread *
+                                         static_cast<std::int64_t>(peers_),
+                                     kMaxWantedSpread));
   }
 }
 
--- a/Source/core/reader_schedule.h
+++ b/Source/core/reader_schedule.h
@@ -1,6 +1,6 @@
 /// @file
-/// Decides when an entry reads the platform itself: one of a group reads, the
-/// others take over when they hear nothing.
+/// Decides when an entry reads the platform itself: one entry reads for all,
+/// the others take over when they hear nothing.
 #pragma once
 
 #include <chrono>
@@ -12,15 +12,18 @@
 
 /// Periods of reading.
 struct reader_periods {
-  /// Between two reads of the group's reader.
+  /// Between two reads of the reader.
   std::chrono::milliseconds reading{700};
   /// Without news from a peer before a process reads itself.
   std::chrono::milliseconds silence{1000};
-  /// Spread of the take-over among the members of a group.
+  /// Spread of the take-over among the entries.
   std::chrono::milliseconds spread{300};
   /// Between two confirmations that something waits for: many flows may wait,
   /// and a peer's read serves them, too.
   std::chrono::milliseconds wanted{50};
+  /// Spread of wanted confirmations for each peer: the first one's read serves
+  /// those that have not begun yet.
+  std::chrono::milliseconds wanted_spread{1};
   /// Before a failed read is tried again; doubles up to `silence`.
   std::chrono::milliseconds retry{150};
 };
@@ -55,26 +58,33 @@
                   std::uint32_t peer,
                   std::chrono::milliseconds age);
 
+  /// @param peers entries that hear what this process reads.
+  void SetPeers(std::size_t peers) { peers_ = peers; }
+
   /// Something needs a confirmation that is younger than now.
   /// @param now the present time.
   void OnConfirmationWanted(time_point now);
 
-  /// @return whether this process reads for its group.
+  /// @return whether this process reads for the others.
   bool IsReader() const { return reading_; }
 
  private:
-  std::chrono::milliseconds Spread();
+  /// @return a draw from nothing to `range`.
+  std::chrono::milliseconds Draw(std::chrono::milliseconds range);
 
   std::uint32_t self_;
   reader_periods periods_;
   bool reading_ = false;
   bool in_flight_ = false;
   std::uint32_t failures_ = 0;
+  std::size_t peers_ = 0;
   std::uint64_t draws_ = 0;
   time_point began_at_{};
   time_point confirmed_at_{};
   /// A confirmation is wanted that began later.
   time_point wanted_since_{};
+  /// When this process begins a wanted read, unless a peer's came before.
+  time_point wanted_at_{};
   /// A process that has just started reads at once.
   time_point due_at_{};
 };
--- a/Source/packet/belief_keeper.cc
+++ b/Source/packet/belief_keeper.cc
@@ -5,6 +5,7 @@
 
 #include "core/agent_roster.h"
 #include "core/fleet_belief.h"
+#include "core/fleet_members.h"
 #include "core/reader_schedule.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -24,11 +25,16 @@
 /// Entries tell the seeds that they run: twice within the life of a member.
 constexpr milliseconds kHelloPeriod = 2000ms;
 constexpr milliseconds kFirstHelloPeriod = 50ms;
-constexpr milliseconds kMemberLifetime = 5000ms;
-/// Entries that share one reader; bounds what a reader sends.
-constexpr std::size_t kMaxGroup = 16;
+/// Addresses that fit a datagram of an ordinary network.
+constexpr std::size_t kMaxToldMembers = 256;
 /// Rows that fit a datagram of an ordinary network.
 constexpr std::size_t kMaxRows = 12;
+/// Datagrams of one read at the most; who needs more fetches the whole.
+constexpr std::size_t kMaxParts = 16;
+/// Age that is added to an update at a relay, for its time on the way there.
+constexpr milliseconds kRelayMargin = 50ms;
+/// Before a member fetches from its relay what that is fetching itself.
+constexpr milliseconds kRelayFetchDelay = 300ms;
 constexpr milliseconds kFetchTimeout = 800ms;
 /// A tick that is later than this means that the process was asleep.
 constexpr milliseconds kAsleepAfter = 1000ms;
@@ -81,7 +87,8 @@
     if (now - expired_at > 1s) {
       expired_at = now;
       belief.Expire(now);
-      ExpireMembers(now);
+      members.Expire(now);
+      roster.Expire(now);
       TellLeaving(now);
       if (HasSettled(now)) {
         belief.OnAgentsKnown(now);
@@ -184,8 +191,8 @@
     if (schedule.IsReader() != logged_reader) {
       logged_reader = schedule.IsReader();
       LogEvent(log_level::info,
-               logged_reader ? "reads_for_group" : "hears_from_reader",
-               {{"members", std::to_string(members.size())}});
+               logged_reader ? "reads_for_all" : "hears_from_reader",
+               {{"members", std::to_string(members.Count())}});
     }
   }
 
@@ -195,7 +202,7 @@
       return;
     }
     auto view = std::make_shared<fleet_view>(*belief.View(now));
-    view->entries = static_cast<std::uint32_t>(members.size()) + 1;
+    view->entries = static_cast<std::uint32_t>(members.Count()) + 1;
     on_view(std::move(view));
   }
 
@@ -203,29 +210,37 @@
     return belief.Configuration() != nullptr && belief.Revision() != 0;
   }
 
-  // What a reader has read goes to its group.
+  // What a reader has read goes to all entries.
   void Broadcast(time_point now, std::uint64_t base) {
     belief_update update = belief.UpdateSince(now, base);
-    if (update.targets.size() > kMaxRows) {
-      // Whoever misses rows fetches them.
-      update.targets.resize(kMaxRows);
+    update.reader = settings.address;
+    const std::vector<member_address> receivers = members.All();
+    if (update.targets.size() > (base == 0 ? kMaxRows : kMaxRows * kMaxParts)) {
+      // Whoever misses rows fetches them. A whole list must not be split:
+      // what is not in it has left.
+      update.targets.clear();
       update.base_revision = update.revision;
     }
-    const std::string bytes = EncodeBelief(update, now);
-    mesh_message message;
-    message.kind = mesh_kind::belief;
-    message.payload = bytes;
-    const std::string_view datagram = encoder.Encode(message);
-    std::size_t sent = 0;
-    for (const auto& [member, heard_at] : members) {
-      if (++sent > kMaxGroup) {
-        break;
-      }
-      socket.Send({member, settings.peer_port}, datagram);
+    for (const belief_update& part : SplitUpdate(std::move(update), kMaxRows)) {
+      Spread(now, part, receivers);
     }
     socket.Flush();
   }
 
+  // Sends an update to some entries, which pass it on to the others.
+  void Spread(time_point now,
+              const belief_update& update,
+              const std::vector<member_address>& receivers) {
+    const std::string bytes = EncodeBelief(update, now);
+    for (relay_branch& branch : SplitReceivers(receivers)) {
+      mesh_message message;
+      message.kind = mesh_kind::belief;
+      message.payload = bytes;
+      message.members = std::move(branch.rest);
+      socket.Send({branch.head, settings.peer_port}, encoder.Encode(message));
+    }
+  }
+
   // Agents refuse new flows while their targets leave, whatever other entries
   // believe, and tell the seeds that they still run.
   void TellLeaving(time_point now) {
@@ -264,8 +279,9 @@
     }
     socket.Flush();
     const bool knows = belief.KnowsAllHolders(ClockWithSleep());
-    loop.After(members.empty() || !knows ? kFirstHelloPeriod : kHelloPeriod,
-               [this] { SayHello(); });
+    loop.After(
+        members.Count() == 0 || !knows ? kFirstHelloPeriod : kHelloPeriod,
+        [this] { SayHello(); });
   }
 
   void OnDatagram(const received_datagram& item) {
@@ -280,7 +296,8 @@
       counted.Add(result_code::malformed);
       return;
     }
-    members[item.from.address] = now;
+    members.OnHeard(now, item.from.address);
+    schedule.SetPeers(members.Count());
     switch (message->kind) {
       case mesh_kind::hello:
         OnHello(item.from);
@@ -290,7 +307,7 @@
         return;
       case mesh_kind::belief:
         if (woke_at == time_point{} || now - woke_at > kStaleAfterWake) {
-          OnBelief(now, item.from, message->payload);
+          OnBelief(now, item.from, *message);
         }
         return;
       default:
@@ -322,7 +339,7 @@
   void OnMembers(time_point now, const mesh_message& message) {
     for (const std::uint32_t member : message.members) {
       if (member != settings.address) {
-        members.try_emplace(member, now);
+        members.OnNamed(now, member);
       }
     }
     for (const present_agent& agent : message.unlisted) {
@@ -349,33 +366,53 @@
     reply.kind = mesh_kind::members;
     reply.settled = HasSettled(ClockWithSleep());
     reply.unlisted = roster.Unlisted();
-    for (const auto& [member, heard_at] : members) {
-      if (member != from.address && reply.members.size() < kMaxGroup) {
-        reply.members.push_back(member);
-      }
-    }
+    reply.members =
+        members.Heard(ClockWithSleep(), from.address, kMaxToldMembers);
     socket.Send(from, encoder.Encode(reply));
   }
 
   void OnBelief(time_point now,
                 const endpoint& from,
-                std::string_view payload) {
-    const auto update = DecodeBelief(payload, now);
+                const mesh_message& message) {
+    auto update = DecodeBelief(message.payload, now);
     if (!update) {
       counted.Add(result_code::malformed);
       return;
     }
+    const bool relayed = update->reader != from.address;
+    if (relayed) {
+      update->age += kRelayMargin;
+    }
+    Spread(now, *update, message.members);
+    socket.Flush();
+    gap_seen =
+        belief.Revision() != 0 && update->base_revision > belief.Revision();
     const bool fits = belief.Revision() != 0 &&
                       belief.TakeUpdate(now, *update) == update_fit::taken;
     if (!fits || !HasVersion(update->configuration_version)) {
-      Fetch(from.address);
+      FetchSoon(from.address, update->configuration_version, relayed);
     }
     if (fits) {
-      schedule.OnPeerRead(now, from.address, update->age);
+      schedule.OnPeerRead(now, update->reader, update->age);
       Publish(now);
     }
   }
 
+  // The relay of an update fetches at the same time, from the reader.
+  void FetchSoon(std::uint32_t peer, std::uint64_t version, bool relayed) {
+    if (!relayed) {
+      Fetch(peer);
+    } else if (!fetch_planned) {
+      fetch_planned = true;
+      loop.After(kRelayFetchDelay, [this, peer, version] {
+        fetch_planned = false;
+        if (!HasVersion(version) || belief.Revision() == 0 || gap_seen) {
+          Fetch(peer);
+        }
+      });
+    }
+  }
+
   bool HasVersion(std::uint64_t version) const {
     return version == 0 || (belief.Configuration() != nullptr &&
                             belief.Configuration()->version >= version);
@@ -388,7 +425,7 @@
         known.push_back(seed.address);
       }
     }
-    for (const auto& [member, heard_at] : members) {
+    for (const member_address member : members.All()) {
       known.push_back(member);
     }
     if (!known.empty()) {
@@ -451,13 +488,6 @@
     responder.Respond(std::move(response));
   }
 
-  void ExpireMembers(time_point now) {
-    std::erase_if(members, [&](const auto& item) {
-      return now - item.second > kMemberLifetime;
-    });
-    roster.Expire(now);
-  }
-
   event_loop& loop;
   packet_settings settings;
   fleet_source& source;
@@ -468,7 +498,7 @@
   udp_socket socket;
   http_server server;
   mesh_encoder encoder;
-  std::unordered_map<std::uint32_t, time_point> members;
+  fleet_members members;
   std::unordered_map<std::uint32_t, std::unique_ptr<http_client>> clients;
   agent_roster roster;
   time_point ticked_at{};
@@ -476,6 +506,9 @@
   time_point expired_at{};
   std::size_t fetches = 0;
   bool fetching = false;
+  bool fetch_planned = false;
+  /// Rows were missing before the latest update.
+  bool gap_seen = false;
   bool list_needed = false;
   bool reading_all = false;
   bool source_failing = false;
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -250,6 +250,7 @@
   table.add_holders_known_ms(ToMilliseconds(update.holders_known_for));
   table.add_configuration(configuration);
   table.add_targets(targets);
+  table.add_reader(update.reader);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -264,6 +265,7 @@
   belief_update update;
   update.base_revision = table->base_revision();
   update.revision = table->revision();
+  update.reader = table->reader();
   update.age = milliseconds(table->age_ms());
   update.configuration_version = table->configuration_version();
   update.configuration_revision = table->configuration_revision();
--- a/Tests/core/fleet_belief_test.cc
+++ b/Tests/core/fleet_belief_test.cc
@@ -54,6 +54,33 @@
   return fleet_belief(belief_limits(), /*first_start=*/true);
 }
 
+TEST_CASE("an update in parts is whole only with its last part") {
+  fleet_belief reader = MakeBelief();
+  reader.TakeList(kStart, kStart, 10, {MakeTarget("a", 1, 3)});
+  std::vector<fleet_target> rows;
+  for (std::uint32_t machine = 2; machine <= 31; ++machine) {
+    rows.push_back(MakeTarget(std::to_string(machine), machine, 50 - machine));
+  }
+  reader.TakeChanges(kStart + 1s, kStart + 1s, 60, rows);
+  const std::vector<belief_update> parts =
+      SplitUpdate(reader.UpdateSince(kStart + 1s, 10), 12);
+  REQUIRE(parts.size() == 3);
+  fleet_belief whole = MakeBelief();
+  fleet_belief partial = MakeBelief();
+  for (fleet_belief* belief : {&whole, &partial}) {
+    belief->TakeList(kStart, kStart, 10, {MakeTarget("a", 1, 3)});
+    CHECK(belief->TakeUpdate(kStart + 1s, parts[0]) == update_fit::taken);
+    CHECK(belief->ConfirmedAt() == kStart);
+  }
+  CHECK(whole.TakeUpdate(kStart + 1s, parts[1]) == update_fit::taken);
+  CHECK(whole.TakeUpdate(kStart + 1s, parts[2]) == update_fit::taken);
+  CHECK(whole.Targets().size() == 31);
+  CHECK(whole.ConfirmedAt() == kStart + 1s);
+  // The second part was lost.
+  CHECK(partial.TakeUpdate(kStart + 1s, parts[2]) == update_fit::gap);
+  CHECK(partial.ConfirmedAt() == kStart);
+}
+
 TEST_CASE("an older list changes nothing") {
   fleet_belief belief = MakeBelief();
   belief.TakeList(kStart, kStart, 10, {MakeTarget("a", 1, 3)});
--- /dev/null
+++ b/Tests/core/fleet_members_test.cc
@@ -0,0 +1,102 @@
+/// @file
+/// News reaches every entry through relays, whatever happens to some of them,
+/// and members that are gone are forgotten by all.
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/fleet_members.h"
+
+namespace corianderplank {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point kStart = time_point() + 1h;
+
+/// Counts how often each receiver gets a message that is passed on.
+void Pass(const std::vector<member_address>& receivers,
+          const std::set<member_address>& dead,
+          std::map<member_address, int>& received,
+          std::size_t& most_sent) {
+  const std::vector<relay_branch> branches = SplitReceivers(receivers);
+  most_sent = std::max(most_sent, branches.size());
+  for (const relay_branch& branch : branches) {
+    if (!dead.contains(branch.head)) {
+      ++received[branch.head];
+      Pass(branch.rest, dead, received, most_sent);
+    }
+  }
+}
+
+TEST_CASE("every entry of 6, 59 and 920 gets a message once") {
+  for (const member_address size : {6U, 59U, 920U}) {
+    std::vector<member_address> receivers;
+    for (member_address member = 1; member <= size; ++member) {
+      receivers.push_back(member);
+    }
+    std::map<member_address, int> received;
+    std::size_t most_sent = 0;
+    Pass(receivers, {}, received, most_sent);
+    CHECK(received.size() == size);
+    CHECK(most_sent <= kMaxFanOut);
+    for (const auto& [member, count] : received) {
+      CHECK(count == 1);
+    }
+  }
+}
+
+TEST_CASE("behind a dead relay the next message arrives by another way") {
+  fleet_members members;
+  for (member_address member = 1; member <= 58; ++member) {
+    members.OnHeard(kStart, member);
+  }
+  for (member_address dead = 1; dead <= 58; ++dead) {
+    std::map<member_address, int> received;
+    std::size_t most_sent = 0;
+    Pass(members.All(), {dead}, received, most_sent);
+    Pass(members.All(), {dead}, received, most_sent);
+    CHECK(received.size() == 57);
+  }
+}
+
+TEST_CASE("a member that is gone does not live on in what others say") {
+  fleet_members left;
+  fleet_members right;
+  left.OnHeard(kStart, 9);
+  right.OnHeard(kStart, 9);
+  // Two seeds greet each other for a minute.
+  for (time_point now = kStart; now < kStart + 60s; now += 500ms) {
+    left.Expire(now);
+    right.Expire(now + 250ms);
+    for (const member_address member : left.Heard(now, 2, 256)) {
+      right.OnNamed(now, member);
+    }
+    for (const member_address member : right.Heard(now, 1, 256)) {
+      left.OnNamed(now, member);
+    }
+  }
+  CHECK(left.Count() == 0);
+  CHECK(right.Count() == 0);
+}
+
+TEST_CASE("who asks hears of all members in turn, but not of itself") {
+  fleet_members members;
+  for (member_address member = 1; member <= 30; ++member) {
+    members.OnHeard(kStart, member);
+  }
+  std::set<member_address> told;
+  for (int call = 0; call < 30; ++call) {
+    for (const member_address member : members.Heard(kStart, 7, 10)) {
+      told.insert(member);
+    }
+  }
+  CHECK(told.size() == 29);
+  CHECK_FALSE(told.contains(7));
+}
+
+}  // namespace
+}  // namespace corianderplank
--- a/Tests/core/reader_schedule_test.cc
+++ b/Tests/core/reader_schedule_test.cc
@@ -19,6 +19,9 @@
 /// Bound on a change of a target or of the configuration, less the time that a
 /// read and its passing on take.
 constexpr milliseconds kOldestAllowed{2500};
+/// Calls a second to a source that fails: 2% of what the smallest store
+/// answers, 2,000 a second.
+constexpr int kCallsInOutage = 40;
 
 /// One entry of a group in virtual time.
 struct virtual_reader {
@@ -39,6 +42,14 @@
   explicit virtual_group(std::uint32_t size) {
     for (std::uint32_t address = 1; address <= size; ++address) {
       readers.emplace_back(address);
+      readers.back().schedule.SetPeers(size - 1);
+    }
+  }
+
+  /// Everybody waits for a confirmation from now on.
+  void Want() {
+    for (virtual_reader& reader : readers) {
+      reader.schedule.OnConfirmationWanted(now);
     }
   }
 
@@ -139,6 +150,48 @@
   CHECK(group.Reads() - before <= 6 * 10 * 2);
 }
 
+TEST_CASE("a fleet of 920 reads hardly more often than one") {
+  virtual_group group(920);
+  group.Run(10s);
+  const int before = group.Reads();
+  group.Run(30s);
+  CHECK(group.Reads() - before <= 30000 / 700 + 1);
+  CHECK(group.oldest <= 710ms);
+}
+
+TEST_CASE("59 entries try a source that fails few times, and hear its return") {
+  virtual_group group(59);
+  group.Run(5s);
+  for (virtual_reader& reader : group.readers) {
+    reader.reads_fail = true;
+  }
+  const int before = group.Reads();
+  group.Run(10s);
+  CHECK(group.Reads() - before <= kCallsInOutage * 10);
+  for (virtual_reader& reader : group.readers) {
+    reader.reads_fail = false;
+  }
+  const time_point back = group.now;
+  group.Run(500ms);
+  for (const virtual_reader& reader : group.readers) {
+    CHECK(reader.confirmed_at >= back);
+  }
+}
+
+TEST_CASE("59 entries that want a confirmation share the reads") {
+  virtual_group group(59);
+  group.Run(10s);
+  const int before = group.Reads();
+  const time_point wanted_at = group.now;
+  group.Want();
+  group.Run(200ms);
+  // One step of virtual time stands for the time that a read takes.
+  CHECK(group.Reads() - before <= 59 / 4);
+  for (const virtual_reader& reader : group.readers) {
+    CHECK(reader.confirmed_at >= wanted_at);
+  }
+}
+
 TEST_CASE("a wanted confirmation comes soon, and one read serves many") {
   reader_schedule schedule(5, reader_periods());
   schedule.OnReadBegin(kStart);
