Ended targets are one fact about a machine, told once and spread

Cause: after a total loss agents of machines that were taken away start once more, know that no target listens, and are gone a second later. Now such an agent tells the seeds right after the look that found it; the fact has the revision of the seed's list, reaches all entries through relays, is part of a whole belief, and is void for any later entry of the list. Races (a target that starts right afterwards, an agent started twice, a seed that missed it, a listed target) are in ended_targets_test. Agents whose target has ended leave by themselves after 2 s.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -20,6 +20,8 @@
 
 struct PresentAgent;
 
+struct EndedTarget;
+
 struct Question;
 
 struct Mesh;
@@ -87,6 +89,34 @@
 };
 FLATBUFFERS_STRUCT_END(PresentAgent, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndedTarget FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t machine_;
+  int32_t padding0__;
+  uint64_t revision_;
+
+ public:
+  EndedTarget()
+      : machine_(0),
+        padding0__(0),
+        revision_(0) {
+    (void)padding0__;
+  }
+  EndedTarget(uint32_t _machine, uint64_t _revision)
+      : machine_(flatbuffers::EndianScalar(_machine)),
+        padding0__(0),
+        revision_(flatbuffers::EndianScalar(_revision)) {
+    (void)padding0__;
+  }
+  uint32_t machine() const {
+    return flatbuffers::EndianScalar(machine_);
+  }
+  uint64_t revision() const {
+    return flatbuffers::EndianScalar(revision_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndedTarget, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Question FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t client_address_;
@@ -169,7 +199,9 @@
     VT_WAITED_MS = 44,
     VT_ROUND = 46,
     VT_FLOWS = 48,
-    VT_COMPLETE = 50
+    VT_COMPLETE = 50,
+    VT_ABSENT = 52,
+    VT_ENDED = 54
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -243,6 +275,12 @@
   bool complete() const {
     return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
   }
+  bool absent() const {
+    return GetField<uint8_t>(VT_ABSENT, 0) != 0;
+  }
+  const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *ended() const {
+    return GetPointer<const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *>(VT_ENDED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -274,6 +312,9 @@
            VerifyOffset(verifier, VT_FLOWS) &&
            verifier.VerifyVector(flows()) &&
            VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ABSENT, 1) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
            verifier.EndTable();
   }
 };
@@ -354,6 +395,12 @@
   void add_complete(bool complete) {
     fbb_.AddElement<uint8_t>(Mesh::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
   }
+  void add_absent(bool absent) {
+    fbb_.AddElement<uint8_t>(Mesh::VT_ABSENT, static_cast<uint8_t>(absent), 0);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended) {
+    fbb_.AddOffset(Mesh::VT_ENDED, ended);
+  }
   explicit MeshBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -390,10 +437,13 @@
     uint32_t waited_ms = 0,
     uint32_t round = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> flows = 0,
-    bool complete = false) {
+    bool complete = false,
+    bool absent = false,
+    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended = 0) {
   MeshBuilder builder_(_fbb);
   builder_.add_born_ms(born_ms);
   builder_.add_service(service);
+  builder_.add_ended(ended);
   builder_.add_flows(flows);
   builder_.add_round(round);
   builder_.add_waited_ms(waited_ms);
@@ -409,6 +459,7 @@
   builder_.add_slots(slots);
   builder_.add_service_address(service_address);
   builder_.add_client(client);
+  builder_.add_absent(absent);
   builder_.add_complete(complete);
   builder_.add_settled(settled);
   builder_.add_wrong_service(wrong_service);
@@ -444,12 +495,15 @@
     uint32_t waited_ms = 0,
     uint32_t round = 0,
     const std::vector<uint32_t> *flows = nullptr,
-    bool complete = false) {
+    bool complete = false,
+    bool absent = false,
+    const std::vector<corianderplank::schema::EndedTarget> *ended = nullptr) {
   auto questions__ = questions ? _fbb.CreateVectorOfStructs<corianderplank::schema::Question>(*questions) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   auto unlisted__ = unlisted ? _fbb.CreateVectorOfStructs<corianderplank::schema::PresentAgent>(*unlisted) : 0;
   auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
   auto flows__ = flows ? _fbb.CreateVector<uint32_t>(*flows) : 0;
+  auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
   return corianderplank::schema::CreateMesh(
       _fbb,
       version,
@@ -475,7 +529,9 @@
       waited_ms,
       round,
       flows__,
-      complete);
+      complete,
+      absent,
+      ended__);
 }
 
 struct Target FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -641,7 +697,8 @@
     VT_HOLDERS_KNOWN_MS = 16,
     VT_CONFIGURATION = 18,
     VT_TARGETS = 20,
-    VT_READER = 22
+    VT_READER = 22,
+    VT_ENDED = 24
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -673,6 +730,9 @@
   uint32_t reader() const {
     return GetField<uint32_t>(VT_READER, 0);
   }
+  const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *ended() const {
+    return GetPointer<const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *>(VT_ENDED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -688,6 +748,8 @@
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
            VerifyField<uint32_t>(verifier, VT_READER, 4) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
            verifier.EndTable();
   }
 };
@@ -726,6 +788,9 @@
   void add_reader(uint32_t reader) {
     fbb_.AddElement<uint32_t>(Belief::VT_READER, reader, 0);
   }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended) {
+    fbb_.AddOffset(Belief::VT_ENDED, ended);
+  }
   explicit BeliefBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -748,12 +813,14 @@
     uint32_t holders_known_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corianderplank::schema::Target>>> targets = 0,
-    uint32_t reader = 0) {
+    uint32_t reader = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended = 0) {
   BeliefBuilder builder_(_fbb);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_configuration_version(configuration_version);
   builder_.add_revision(revision);
   builder_.add_base_revision(base_revision);
+  builder_.add_ended(ended);
   builder_.add_reader(reader);
   builder_.add_targets(targets);
   builder_.add_configuration(configuration);
@@ -774,9 +841,11 @@
     uint32_t holders_known_ms = 0,
     const std::vector<uint8_t> *configuration = nullptr,
     const std::vector<flatbuffers::Offset<corianderplank::schema::Target>> *targets = nullptr,
-    uint32_t reader = 0) {
+    uint32_t reader = 0,
+    const std::vector<corianderplank::schema::EndedTarget> *ended = nullptr) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<corianderplank::schema::Target>>(*targets) : 0;
+  auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
   return corianderplank::schema::CreateBelief(
       _fbb,
       version,
@@ -788,7 +857,8 @@
       holders_known_ms,
       configuration__,
       targets__,
-      reader);
+      reader,
+      ended__);
 }
 
 }  // namespace schema
--- /dev/null
+++ b/Source/core/ended_targets.cc
@@ -0,0 +1,43 @@
+#include "core/ended_targets.h"
+
+namespace corianderplank {
+
+bool ended_targets::Take(time_point now, const ended_target& fact) {
+  const auto [found, added] = ends_.try_emplace(fact.machine);
+  if (!added && found->second.revision >= fact.revision) {
+    return false;
+  }
+  found->second = {fact.revision, now};
+  return true;
+}
+
+bool ended_targets::Covers(std::uint32_t machine,
+                           std::uint64_t revision) const {
+  const auto found = ends_.find(machine);
+  return found != ends_.end() && revision <= found->second.revision;
+}
+
+void ended_targets::Expire(time_point now) {
+  std::erase_if(ends_, [&](const auto& item) {
+    return now - item.second.told_at > lifetime_;
+  });
+}
+
+std::vector<ended_target> ended_targets::All() const {
+  std::vector<ended_target> all;
+  all.reserve(ends_.size());
+  for (const auto& [machine, end] : ends_) {
+    all.push_back({machine, end.revision});
+  }
+  return all;
+}
+
+std::uint32_t ended_targets::Digest() const {
+  std::uint64_t sum = 0;
+  for (const auto& [machine, end] : ends_) {
+    sum += MixHash(machine, end.revision);
+  }
+  return static_cast<std::uint32_t>(sum);
+}
+
+}  // namespace corianderplank
--- a/Source/core/fleet.h
+++ b/Source/core/fleet.h
@@ -38,6 +38,8 @@
   /// It is not in the list any more.
   bool gone = false;
   time_point gone_since{};
+  /// Nothing listens at its address any more: it holds no flow.
+  bool ended = false;
   /// Until when it may come back: it left while the list's source failed.
   time_point doubtful_until{};
 
--- a/Source/core/fleet_belief.cc
+++ b/Source/core/fleet_belief.cc
@@ -1,6 +1,7 @@
 #include "core/fleet_belief.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 
 namespace corianderplank {
@@ -201,6 +202,7 @@
   }
   Confirm(now, now - update.age, update.revision);
   if (update.base_revision == 0) {
+    TakeEnded(now, update.ended);
     const time_point since = now - update.holders_known_for;
     whole_since_ = first ? since : std::min(whole_since_, since);
   }
@@ -226,6 +228,9 @@
     update.configuration_version = configuration_->version;
     update.configuration_revision = configuration_->revision;
   }
+  if (revision == 0) {
+    update.ended = ended_.All();
+  }
   for (const auto& [id, item] : targets_) {
     if (item.revision > revision) {
       update.targets.push_back(item);
@@ -268,6 +273,38 @@
   changed_.push_back(id);
 }
 
+std::optional<ended_target> fleet_belief::TakeAbsence(time_point now,
+                                                      std::uint32_t machine) {
+  const bool listed =
+      std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+        return !entry.second.gone && entry.second.address.address == machine;
+      });
+  const ended_target fact{machine, revision_};
+  if (revision_ == 0 || listed || !HasHolder(machine) ||
+      !ended_.Take(now, fact)) {
+    return std::nullopt;
+  }
+  return fact;
+}
+
+bool fleet_belief::HasHolder(std::uint32_t machine) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+    const fleet_target& item = entry.second;
+    return item.address.address == machine &&
+           !ended_.Covers(machine, item.revision);
+  });
+}
+
+std::vector<ended_target> fleet_belief::TakeEnded(
+    time_point now,
+    const std::vector<ended_target>& ended) {
+  std::vector<ended_target> news;
+  std::copy_if(
+      ended.begin(), ended.end(), std::back_inserter(news),
+      [&](const ended_target& fact) { return ended_.Take(now, fact); });
+  return news;
+}
+
 bool fleet_belief::KnowsAllHolders(time_point now) const {
   if (confirmed_at_ == time_point{}) {
     return false;
@@ -278,6 +315,7 @@
 }
 
 void fleet_belief::Expire(time_point now) {
+  ended_.Expire(now);
   std::erase_if(targets_, [&](const auto& entry) {
     const fleet_target& item = entry.second;
     return item.gone && now - item.gone_since > limits_.longest_flow;
@@ -290,6 +328,8 @@
   view->targets.reserve(targets_.size());
   for (const auto& [id, item] : targets_) {
     view->targets.push_back(item);
+    view->targets.back().ended =
+        ended_.Covers(item.address.address, item.revision);
   }
   // The same order in every process, whatever the table's.
   std::sort(view->targets.begin(), view->targets.end(),
--- a/Source/core/fleet_belief.h
+++ b/Source/core/fleet_belief.h
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
+#include "core/ended_targets.h"
 #include "core/fleet.h"
 #include "core/mesh_message.h"
 
@@ -44,7 +46,9 @@
   /// @param limits bounds.
   /// @param first_start the whole system starts now: no flow is older.
   fleet_belief(const belief_limits& limits, bool first_start)
-      : limits_(limits), first_start_(first_start) {}
+      : limits_(limits),
+        first_start_(first_start),
+        ended_(limits.longest_flow) {}
 
   /// Takes a whole list.
   /// @param now the present time.
@@ -87,6 +91,26 @@
   /// @param agent the agent.
   void TakePresent(time_point now, const present_agent& agent);
 
+  /// An agent has just found that nothing listens at its target's address.
+  /// Nothing is concluded while a target is listed there: it may have started
+  /// since, and no target comes and leaves the list within the time that the
+  /// agent's message takes.
+  /// @param now the present time.
+  /// @param machine the agent's machine.
+  /// @return what is to be told to others, if it is news.
+  std::optional<ended_target> TakeAbsence(time_point now,
+                                          std::uint32_t machine);
+
+  /// Another entry tells of targets that have ended.
+  /// @param now the present time.
+  /// @param ended targets that have ended.
+  /// @return those among them that were not known.
+  std::vector<ended_target> TakeEnded(time_point now,
+                                      const std::vector<ended_target>& ended);
+
+  /// @return targets that have ended.
+  const ended_targets& Ended() const { return ended_; }
+
   /// Every agent that runs had time to say so.
   /// @param now the present time.
   void OnAgentsKnown(time_point now) { agents_known_at_ = now; }
@@ -131,9 +155,12 @@
                    const std::vector<fleet_target>& rows);
   void MarkGone(time_point now, fleet_target& item, std::uint64_t revision);
   std::chrono::milliseconds HoldersKnownFor(time_point now) const;
+  /// @return whether flows may be held on a machine.
+  bool HasHolder(std::uint32_t machine) const;
 
   belief_limits limits_;
   bool first_start_;
+  ended_targets ended_;
   std::unordered_map<target_id, fleet_target, identifier_hash> targets_;
   std::shared_ptr<const fleet_configuration> configuration_;
   /// Routes that earlier versions had.
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/ended_targets.h"
 #include "core/fleet.h"
 #include "core/flow_packet.h"
 
@@ -34,6 +35,7 @@
   list_flows = 16,  ///< Entry to agent: which flows does it have?
   flows = 17,       ///< Agent to entry: all flows that it knows of.
   ended = 18,       ///< Agent to entry: its target has ended, with its flows.
+  ended_elsewhere = 19,  ///< Entry to entry: targets that have ended.
 };
 
 /// What an agent says of a flow that it was asked for.
@@ -87,17 +89,22 @@
   agent_load load;
   /// Ask, verdicts: flows; at most kMaxQuestions.
   std::vector<flow_question> questions;
-  /// List_flows, flows: the round of questions.
+  /// List_flows, flows: the round of questions. Hello: digest of the ended
+  /// targets that are known.
   std::uint32_t round = 0;
   /// Flows: numbers of the agent's flows, as flow_census has them.
   std::vector<std::uint32_t> flows;
   /// Flows: the agent has no others.
   bool complete = false;
-  /// Members: addresses of entries. Belief: entries that the receiver passes
-  /// the message on to.
+  /// Members: addresses of entries. Belief, ended_elsewhere: entries that the
+  /// receiver passes the message on to.
   std::vector<std::uint32_t> members;
   /// Members: agents whose targets are not listed, with their services.
   std::vector<present_agent> unlisted;
+  /// Present: nothing listens at the target's address.
+  bool absent = false;
+  /// Members, ended_elsewhere: targets that have ended.
+  std::vector<ended_target> ended;
   /// Members: the sender has listened for agents long enough to know them.
   bool settled = false;
   /// Deliver, denied, refused: the client's packet; belief: its encoding.
@@ -118,6 +125,8 @@
   std::string configuration;
   /// Changed targets; those with `gone` have left.
   std::vector<fleet_target> targets;
+  /// Targets that have ended; only of a whole belief.
+  std::vector<ended_target> ended;
   /// How long the sender has known every holder of flows.
   std::chrono::milliseconds holders_known_for{0};
 };
--- a/Source/core/packet_entry.cc
+++ b/Source/core/packet_entry.cc
@@ -46,6 +46,7 @@
   loads_.Retain(*index_);
   loads_.SetEntries(index_->View().entries);
   RetainEnded();
+  TakeEnded(now);
   if (woke_at_ && index_->View().confirmed_at >= *woke_at_) {
     woke_at_.reset();
   }
--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -139,6 +139,14 @@
     time_point heard_at{};
   };
 
+  /// A machine whose target has ended.
+  struct ended_here {
+    /// Revision under which it was listed; a later one is another target.
+    std::uint64_t revision = 0;
+    /// Its agent spoke for a target since.
+    bool contradicted = false;
+  };
+
   struct due_flow {
     time_point at;
     flow_address flow;
@@ -195,6 +203,10 @@
   void OnTargetEnded(time_point now, machine_address machine);
   /// Forgets ended targets where others are listed now.
   void RetainEnded();
+  /// Takes ended targets that others have told of.
+  void TakeEnded(time_point now);
+  /// @return whether nobody needs to wait for a machine's answer.
+  bool HasEnded(machine_address machine) const;
   /// @return whether the search waits for lists, since many run at once.
   bool JoinCensus(time_point now, const flow_address& flow, search& sought);
   void BeginCensus(time_point now);
@@ -251,9 +263,7 @@
   byte_budget search_budget_;
   std::shared_ptr<const fleet_index> index_;
   std::unordered_map<flow_address, flow_record, flow_address_hash> flows_;
-  /// Machines whose targets have ended, with the revision under which they
-  /// were listed then; a later one is another target.
-  std::unordered_map<machine_address, std::uint64_t> ended_;
+  std::unordered_map<machine_address, ended_here> ended_;
   std::deque<due_flow> openings_;
   std::multimap<time_point, flow_address> searches_;
   flow_census census_;
--- a/Source/core/packet_entry_search.cc
+++ b/Source/core/packet_entry_search.cc
@@ -134,7 +134,7 @@
 void packet_entry::Ask(const flow_address& flow,
                        search& sought,
                        machine_address machine) {
-  if (ended_.contains(machine)) {
+  if (HasEnded(machine)) {
     // Nobody waits for the answer; another target would still be heard.
     sought.denied.push_back(machine);
   }
@@ -184,8 +184,9 @@
     return;
   }
   search& sought = *found->second.sought;
-  if (ended_.erase(machine) > 0) {
+  if (HasEnded(machine)) {
     // Another target runs there, beside another agent.
+    ended_[machine].contradicted = true;
     std::erase(sought.denied, machine);
   }
   if (!Contains(sought.asked, machine) || Contains(sought.denied, machine)) {
@@ -277,7 +278,7 @@
 
 void packet_entry::OnTargetEnded(time_point now, machine_address machine) {
   const fleet_target* target = index_->FindTarget(machine);
-  ended_[machine] = target == nullptr ? 0 : target->revision;
+  ended_[machine] = {target == nullptr ? 0 : target->revision, false};
   counters_.Add(result_code::target_ended);
   loads_.OnLeaving(now, machine);
   for (auto& [flow, record] : flows_) {
@@ -297,10 +298,28 @@
   std::erase_if(ended_, [&](const auto& item) {
     const fleet_target* target = index_->FindTarget(item.first);
     return target == nullptr ||
-           (!target->gone && target->revision > item.second);
+           (!target->gone && target->revision > item.second.revision);
   });
 }
 
+void packet_entry::TakeEnded(time_point now) {
+  for (const fleet_target& item : index_->View().targets) {
+    const machine_address machine = item.address.address;
+    if (!item.ended || index_->FindTarget(machine) != &item) {
+      continue;
+    }
+    const auto known = ended_.find(machine);
+    if (known == ended_.end() || known->second.revision < item.revision) {
+      OnTargetEnded(now, machine);
+    }
+  }
+}
+
+bool packet_entry::HasEnded(machine_address machine) const {
+  const auto found = ended_.find(machine);
+  return found != ended_.end() && !found->second.contradicted;
+}
+
 void packet_entry::Schedule(time_point at, const flow_address& flow) {
   flows_.at(flow).sought->due_at = at;
   searches_.emplace(at, flow);
--- a/Source/net/listen_probe.cc
+++ b/Source/net/listen_probe.cc
@@ -10,15 +10,19 @@
 
 void ProbeListener(event_loop& loop,
                    const endpoint& address,
-                   closed_callback on_closed) {
+                   probe_callback on_result) {
   using boost::asio::ip::tcp;
   auto socket = std::make_shared<tcp::socket>(loop.Context());
   socket->async_connect(
       tcp::endpoint(boost::asio::ip::address_v4(address.address), address.port),
-      [socket, on_closed = std::move(on_closed)](
+      [socket, on_result = std::move(on_result)](
           const boost::system::error_code& error) {
-        if (error == boost::asio::error::connection_refused) {
-          on_closed();
+        if (!error) {
+          on_result(listener_state::present);
+        } else if (error == boost::asio::error::connection_refused) {
+          on_result(listener_state::absent);
+        } else {
+          on_result(listener_state::unknown);
         }
       });
 }
--- a/Source/net/listen_probe.h
+++ b/Source/net/listen_probe.h
@@ -2,6 +2,7 @@
 /// Tells whether a process still listens at an endpoint.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 
 #include "core/identifiers.h"
@@ -9,16 +10,22 @@
 
 namespace corianderplank {
 
-/// Called once, on the loop's thread, only when the machine answered that
-/// nothing listens there. Silence and an open port tell nothing.
-using closed_callback = std::function<void()>;
+/// What an attempt to connect has shown.
+enum class listener_state : std::uint8_t {
+  present,  ///< A process listens there.
+  absent,   ///< The machine answered that nothing listens there.
+  unknown,  ///< No answer.
+};
+
+/// Called once, on the loop's thread.
+using probe_callback = std::function<void(listener_state)>;
 
 /// Connects to an endpoint and closes the connection at once.
 /// @param loop the loop; must outlive the attempt.
 /// @param address TCP endpoint.
-/// @param on_closed called when the connection was refused.
+/// @param on_result called with the result.
 void ProbeListener(event_loop& loop,
                    const endpoint& address,
-                   closed_callback on_closed);
+                   probe_callback on_result);
 
 }  // namespace corianderplank
--- a/Source/packet/belief_keeper.cc
+++ b/Source/packet/belief_keeper.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <utility>
 
 #include "core/agent_roster.h"
 #include "core/fleet_belief.h"
@@ -26,7 +27,11 @@
 constexpr milliseconds kHelloPeriod = 2000ms;
 constexpr milliseconds kFirstHelloPeriod = 50ms;
 /// Addresses that fit a datagram of an ordinary network.
-constexpr std::size_t kMaxToldMembers = 256;
+constexpr std::size_t kMaxToldMembers = 200;
+/// Facts of 16 bytes that fit beside these; others are told by a whole belief.
+constexpr std::size_t kMaxToldEnded = 32;
+/// Time in which facts are gathered for one message: a round trip.
+constexpr milliseconds kGatherEnded = 5ms;
 /// Rows that fit a datagram of an ordinary network.
 constexpr std::size_t kMaxRows = 12;
 /// Datagrams of one read at the most; who needs more fetches the whole.
@@ -224,21 +229,16 @@
     for (const belief_update& part : SplitUpdate(std::move(update), kMaxRows)) {
       Spread(now, part, receivers);
     }
-    socket.Flush();
   }
 
-  // Sends an update to some entries, which pass it on to the others.
   void Spread(time_point now,
               const belief_update& update,
               const std::vector<member_address>& receivers) {
     const std::string bytes = EncodeBelief(update, now);
-    for (relay_branch& branch : SplitReceivers(receivers)) {
-      mesh_message message;
-      message.kind = mesh_kind::belief;
-      message.payload = bytes;
-      message.members = std::move(branch.rest);
-      socket.Send({branch.head, settings.peer_port}, encoder.Encode(message));
-    }
+    mesh_message message;
+    message.kind = mesh_kind::belief;
+    message.payload = bytes;
+    PassOn(message, receivers);
   }
 
   // Agents refuse new flows while their targets leave, whatever other entries
@@ -271,6 +271,7 @@
   void SayHello() {
     mesh_message message;
     message.kind = mesh_kind::hello;
+    message.round = belief.Ended().Digest();
     const std::string_view datagram = encoder.Encode(message);
     for (const endpoint& seed : settings.seeds) {
       if (seed.address != settings.address) {
@@ -289,7 +290,8 @@
     const time_point now = ClockWithSleep();
     if (message && message->kind == mesh_kind::present &&
         item.from.port == settings.delivery_port) {
-      OnPresent(now, item.from, {item.from.address, message->service});
+      OnPresent(now, item.from, {item.from.address, message->service},
+                message->absent);
       return;
     }
     if (!message || item.from.port != settings.peer_port) {
@@ -300,11 +302,15 @@
     schedule.SetPeers(members.Count());
     switch (message->kind) {
       case mesh_kind::hello:
-        OnHello(item.from);
+        OnHello(item.from, message->round);
         return;
       case mesh_kind::members:
         OnMembers(now, *message);
         return;
+      case mesh_kind::ended_elsewhere:
+        PassOn(*message, message->members);
+        OnEnded(now, message->ended, "peer");
+        return;
       case mesh_kind::belief:
         if (woke_at == time_point{} || now - woke_at > kStaleAfterWake) {
           OnBelief(now, item.from, *message);
@@ -318,7 +324,8 @@
   // Seeds hear from agents whose targets no list may show.
   void OnPresent(time_point now,
                  const endpoint& from,
-                 const present_agent& agent) {
+                 const present_agent& agent,
+                 bool absent) {
     const bool listed = std::any_of(
         belief.Targets().begin(), belief.Targets().end(),
         [&](const auto& entry) {
@@ -334,6 +341,57 @@
       return;
     }
     belief.TakePresent(now, agent);
+    const auto fact =
+        absent ? belief.TakeAbsence(now, agent.machine) : std::nullopt;
+    if (fact) {
+      LogEnded({*fact}, "agent");
+      Publish(now);
+      TellEnded(*fact);
+    }
+  }
+
+  // Agents that are taken away with their targets come at about one time.
+  void TellEnded(const ended_target& fact) {
+    ended_to_tell.push_back(fact);
+    if (ended_to_tell.size() > 1) {
+      return;
+    }
+    loop.After(kGatherEnded, [this] {
+      mesh_message message;
+      message.kind = mesh_kind::ended_elsewhere;
+      message.ended = std::exchange(ended_to_tell, {});
+      PassOn(message, members.All());
+    });
+  }
+
+  // Sends a message to some entries, which pass it on to the others.
+  void PassOn(mesh_message message,
+              const std::vector<member_address>& receivers) {
+    for (relay_branch& branch : SplitReceivers(receivers)) {
+      message.members = std::move(branch.rest);
+      socket.Send({branch.head, settings.peer_port}, encoder.Encode(message));
+    }
+    socket.Flush();
+  }
+
+  void OnEnded(time_point now,
+               const std::vector<ended_target>& ended,
+               const std::string& from) {
+    const std::vector<ended_target> news = belief.TakeEnded(now, ended);
+    if (!news.empty()) {
+      LogEnded(news, from);
+      Publish(now);
+    }
+  }
+
+  void LogEnded(const std::vector<ended_target>& news,
+                const std::string& from) {
+    for (const ended_target& fact : news) {
+      LogEvent(log_level::info, "target_ended",
+               {{"machine", FormatEndpoint({fact.machine, 0})},
+                {"revision", std::to_string(fact.revision)},
+                {"source", from}});
+    }
   }
 
   void OnMembers(time_point now, const mesh_message& message) {
@@ -345,6 +403,7 @@
     for (const present_agent& agent : message.unlisted) {
       belief.TakePresent(now, agent);
     }
+    OnEnded(now, message.ended, "seed");
     if (message.settled) {
       if (!belief.KnowsAllHolders(now)) {
         LogEvent(log_level::info, "holders_known", {{"source", "seed"}});
@@ -361,11 +420,15 @@
     return is_seed && roster.HasSettled(now, belief);
   }
 
-  void OnHello(const endpoint& from) {
+  void OnHello(const endpoint& from, std::uint32_t digest) {
     mesh_message reply;
     reply.kind = mesh_kind::members;
     reply.settled = HasSettled(ClockWithSleep());
     reply.unlisted = roster.Unlisted();
+    if (digest != belief.Ended().Digest()) {
+      reply.ended = belief.Ended().All();
+      reply.ended.resize(std::min(reply.ended.size(), kMaxToldEnded));
+    }
     reply.members =
         members.Heard(ClockWithSleep(), from.address, kMaxToldMembers);
     socket.Send(from, encoder.Encode(reply));
@@ -384,7 +447,6 @@
       update->age += kRelayMargin;
     }
     Spread(now, *update, message.members);
-    socket.Flush();
     gap_seen =
         belief.Revision() != 0 && update->base_revision > belief.Revision();
     const bool fits = belief.Revision() != 0 &&
@@ -501,6 +563,7 @@
   fleet_members members;
   std::unordered_map<std::uint32_t, std::unique_ptr<http_client>> clients;
   agent_roster roster;
+  std::vector<ended_target> ended_to_tell;
   time_point ticked_at{};
   time_point woke_at{};
   time_point expired_at{};
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -33,11 +33,18 @@
 /// Left of the limit for the end itself.
 constexpr milliseconds kEndReserve = 1000ms;
 constexpr milliseconds kStopPoll = 100ms;
-/// While the agent stops: how often it looks whether its target has ended.
+/// How often it looks for a target that was absent, or may end while the agent
+/// stops.
 constexpr milliseconds kTargetLook = 500ms;
 /// After the agent's start: when it looks first whether there is a target; the
 /// pause doubles, since each look is a connection to the target.
 constexpr milliseconds kFirstTargetLook = 100ms;
+/// A look that has taken longer tells nothing about now: far below the time in
+/// which a target starts, is listed and leaves.
+constexpr milliseconds kAbsenceLifetime = 500ms;
+/// An agent whose target has ended goes on this long to tell so: some looks,
+/// since a datagram may be lost.
+constexpr milliseconds kTellEnded = 2000ms;
 
 }  // namespace
 
@@ -147,20 +154,27 @@
                         now - listed_at < kListedLifetime &&
                         !agent.IsTargetLeaving(now);
     if (!listed) {
-      mesh_message message;
-      message.kind = mesh_kind::present;
-      message.service = ServiceIdOf(settings.service);
-      const std::string_view datagram = encoder.Encode(message);
-      for (const endpoint& seed : settings.seeds) {
-        entries.Send({seed.address, settings.peer_port}, datagram);
-      }
-      entries.Flush();
+      TellSeeds(/*absent=*/false);
     }
     loop.After(now - started_at < kOftenAfterStart && !listed ? kFirstPresent
                                                               : kPresent,
                [this] { TellPresence(); });
   }
 
+  // Absence is told only right after the look that has found it: a target may
+  // start at any time.
+  void TellSeeds(bool absent) {
+    mesh_message message;
+    message.kind = mesh_kind::present;
+    message.service = ServiceIdOf(settings.service);
+    message.absent = absent;
+    const std::string_view datagram = encoder.Encode(message);
+    for (const endpoint& seed : settings.seeds) {
+      entries.Send({seed.address, settings.peer_port}, datagram);
+    }
+    entries.Flush();
+  }
+
   void OnStop() {
     if (stopping) {
       return;
@@ -178,18 +192,16 @@
 
   // A target that starts later starts empty, and all that it gets passes here.
   void LookForTargetAfterStart(milliseconds pause) {
-    if (target_absent || stopping || pause > settings.longest_flow) {
+    if (stopping || target_came || pause > settings.longest_flow) {
       return;
     }
     LookForTarget();
-    loop.After(pause, [this, pause] { LookForTargetAfterStart(2 * pause); });
+    const milliseconds next = target_absent ? kTargetLook : pause;
+    loop.After(next, [this, pause] { LookForTargetAfterStart(2 * pause); });
   }
 
   // A machine is taken away with its target; its flows must not wait for it.
   void LookForTargetWhileStopping() {
-    if (target_ended) {
-      return;
-    }
     LookForTarget();
     loop.After(kTargetLook, [this] { LookForTargetWhileStopping(); });
   }
@@ -197,14 +209,23 @@
   void LookForTarget() {
     const time_point asked_at = ClockWithSleep();
     ProbeListener(loop, settings.target,
-                  [this, asked_at] { OnTargetAbsent(asked_at); });
+                  [this, asked_at](listener_state state) {
+                    target_came |= state == listener_state::present;
+                    if (state == listener_state::absent) {
+                      OnTargetAbsent(asked_at);
+                    }
+                  });
   }
 
   void OnTargetAbsent(time_point asked_at) {
+    if (ClockWithSleep() - asked_at < kAbsenceLifetime) {
+      TellSeeds(/*absent=*/true);
+    }
     const bool has_ended = stopping && asked_at >= stop_at;
     if (target_ended || (target_absent && !has_ended)) {
       return;
     }
+    ended_at = ClockWithSleep();
     target_absent = true;
     target_ended = has_ended;
     LogEvent(log_level::info, has_ended ? "target_ended" : "target_absent",
@@ -217,7 +238,9 @@
   // Serves its flows until they have ended, or the limit nears.
   void PollStop() {
     const auto passed = ClockWithSleep() - stop_at;
-    const bool idle = agent.OpenFlows() == 0 && !target_ended;
+    const auto told_for = ClockWithSleep() - ended_at;
+    const bool idle =
+        target_ended ? told_for > kTellEnded : agent.OpenFlows() == 0;
     if (idle || passed + kEndReserve > settings.stop_limit) {
       loop.Stop();
       return;
@@ -242,8 +265,12 @@
   bool stopping = false;
   /// Nothing listened at the target's address at some time since the start.
   bool target_absent = false;
+  /// Something listened there at a look.
+  bool target_came = false;
   /// Nothing listened there after the stop was requested.
   bool target_ended = false;
+  /// When that was found.
+  time_point ended_at{};
 };
 
 packet_agent_daemon::packet_agent_daemon(const packet_options& options,
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -96,6 +96,27 @@
   return item;
 }
 
+std::vector<schema::EndedTarget> ToSchema(
+    const std::vector<ended_target>& ended) {
+  std::vector<schema::EndedTarget> rows;
+  rows.reserve(ended.size());
+  for (const ended_target& item : ended) {
+    rows.emplace_back(item.machine, item.revision);
+  }
+  return rows;
+}
+
+std::vector<ended_target> FromSchema(
+    const flatbuffers::Vector<const schema::EndedTarget*>* rows) {
+  std::vector<ended_target> ended;
+  if (rows != nullptr) {
+    for (const schema::EndedTarget* row : *rows) {
+      ended.push_back({row->machine(), row->revision()});
+    }
+  }
+  return ended;
+}
+
 }  // namespace
 
 struct mesh_encoder::state {
@@ -146,6 +167,10 @@
   if (!message.flows.empty()) {
     flows = builder.CreateVector(message.flows);
   }
+  flatbuffers::Offset<flatbuffers::Vector<const schema::EndedTarget*>> ended;
+  if (!message.ended.empty()) {
+    ended = builder.CreateVectorOfStructs(ToSchema(message.ended));
+  }
   const schema::Endpoint client = ToSchema(message.flow.client);
   const schema::Endpoint service_address = ToSchema(message.flow.service);
   schema::MeshBuilder table(builder);
@@ -173,6 +198,8 @@
   table.add_round(message.round);
   table.add_flows(flows);
   table.add_complete(message.complete);
+  table.add_absent(message.absent);
+  table.add_ended(ended);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -182,7 +209,7 @@
   const auto* table = Verified<schema::Mesh>(bytes);
   if (table == nullptr ||
       table->kind() < static_cast<std::uint8_t>(mesh_kind::deliver) ||
-      table->kind() > static_cast<std::uint8_t>(mesh_kind::ended)) {
+      table->kind() > static_cast<std::uint8_t>(mesh_kind::ended_elsewhere)) {
     return std::nullopt;
   }
   mesh_message message;
@@ -225,6 +252,8 @@
   }
   message.round = table->round();
   message.complete = table->complete();
+  message.absent = table->absent();
+  message.ended = FromSchema(table->ended());
   message.payload = ViewOf(table->payload());
   return message;
 }
@@ -237,6 +266,7 @@
     rows.push_back(EncodeTarget(builder, item, now));
   }
   const auto targets = builder.CreateVector(rows);
+  const auto ended = builder.CreateVectorOfStructs(ToSchema(update.ended));
   const auto configuration = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(update.configuration.data()),
       update.configuration.size());
@@ -251,6 +281,7 @@
   table.add_configuration(configuration);
   table.add_targets(targets);
   table.add_reader(update.reader);
+  table.add_ended(ended);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -266,6 +297,7 @@
   update.base_revision = table->base_revision();
   update.revision = table->revision();
   update.reader = table->reader();
+  update.ended = FromSchema(table->ended());
   update.age = milliseconds(table->age_ms());
   update.configuration_version = table->configuration_version();
   update.configuration_revision = table->configuration_revision();
--- /dev/null
+++ b/Tests/core/ended_targets_test.cc
@@ -0,0 +1,163 @@
+/// @file
+/// That a machine has no target any more is one fact: it closes every search,
+/// outlives the agent that told it, and is never held against a later target.
+
+#include <doctest/doctest.h>
+
+#include "core/ended_targets.h"
+#include "core/fleet_belief.h"
+#include "packet_entry_fixture.h"
+
+namespace corianderplank {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t kMachine = 3;
+
+fleet_target Row(std::uint64_t id, std::uint64_t revision, bool gone = false) {
+  fleet_target row;
+  row.id = {id};
+  row.address = {kMachine, 8080};
+  row.service = kService;
+  row.revision = revision;
+  row.gone = gone;
+  return row;
+}
+
+/// A seed after a total loss, whose list shows no target at the machine.
+fleet_belief Restarted(std::uint64_t revision) {
+  fleet_belief belief(belief_limits(), /*first_start=*/false);
+  belief.TakeList(kStart, kStart, revision, {});
+  belief.TakePresent(kStart, {kMachine, kService});
+  return belief;
+}
+
+bool IsEnded(const fleet_belief& belief, time_point now) {
+  const auto view = belief.View(now);
+  const fleet_index index(view);
+  const fleet_target* target = index.FindTarget(kMachine);
+  return target != nullptr && target->ended;
+}
+
+TEST_CASE("an agent that finds no target closes its machine once") {
+  fleet_belief seed = Restarted(50);
+  CHECK_FALSE(IsEnded(seed, kStart));
+  const auto fact = seed.TakeAbsence(kStart + 1ms, kMachine);
+  REQUIRE(fact);
+  CHECK(fact->revision == 50);
+  CHECK(IsEnded(seed, kStart + 1ms));
+  // It goes on telling; others hear it once.
+  CHECK_FALSE(seed.TakeAbsence(kStart + 500ms, kMachine));
+  fleet_belief other = Restarted(48);
+  CHECK(other.TakeEnded(kStart + 3ms, {*fact}).size() == 1);
+  CHECK(other.TakeEnded(kStart + 4ms, {*fact}).empty());
+  CHECK(IsEnded(other, kStart + 4ms));
+  CHECK(seed.Ended().Digest() == other.Ended().Digest());
+}
+
+TEST_CASE("nothing is concluded while a target is listed or before a list") {
+  fleet_belief none(belief_limits(), /*first_start=*/false);
+  none.TakePresent(kStart, {kMachine, kService});
+  CHECK_FALSE(none.TakeAbsence(kStart, kMachine));
+  fleet_belief belief(belief_limits(), /*first_start=*/false);
+  belief.TakeList(kStart, kStart, 50, {Row(1, 40)});
+  CHECK_FALSE(belief.TakeAbsence(kStart, kMachine));
+  // The target that was there before leaves the list.
+  belief.TakeChanges(kStart + 1s, kStart + 1s, 60, {Row(1, 55, true)});
+  CHECK(belief.TakeAbsence(kStart + 1s, kMachine));
+}
+
+TEST_CASE("a target that starts there right afterwards is a holder") {
+  for (const bool same_id : {true, false}) {
+    fleet_belief belief(belief_limits(), /*first_start=*/false);
+    belief.TakeList(kStart, kStart, 50, {Row(1, 40)});
+    belief.TakeChanges(kStart, kStart, 55, {Row(1, 52, true)});
+    const auto fact = belief.TakeAbsence(kStart + 10ms, kMachine);
+    REQUIRE(fact);
+    fleet_target later = Row(same_id ? 1 : 2, 56);
+    later.born_ms = 1;
+    belief.TakeChanges(kStart + 700ms, kStart + 700ms, 57, {later});
+    CHECK_FALSE(IsEnded(belief, kStart + 700ms));
+    // The old fact comes again by another way.
+    belief.TakeEnded(kStart + 800ms, {*fact});
+    CHECK_FALSE(IsEnded(belief, kStart + 800ms));
+    // It leaves the list and may still hold flows.
+    later.gone = true;
+    later.revision = 60;
+    belief.TakeChanges(kStart + 5s, kStart + 5s, 61, {later});
+    CHECK_FALSE(IsEnded(belief, kStart + 5s));
+  }
+}
+
+TEST_CASE("a seed that missed the agent hears of it from a peer's belief") {
+  fleet_belief seed = Restarted(50);
+  REQUIRE(seed.TakeAbsence(kStart, kMachine));
+  fleet_belief newcomer(belief_limits(), /*first_start=*/false);
+  newcomer.TakeUpdate(kStart + 1s, seed.UpdateSince(kStart + 1s, 0));
+  newcomer.TakePresent(kStart + 1s, {kMachine, kService});
+  CHECK(IsEnded(newcomer, kStart + 1s));
+}
+
+TEST_CASE("an agent that is started twice tells the same") {
+  fleet_belief seed = Restarted(50);
+  REQUIRE(seed.TakeAbsence(kStart, kMachine));
+  seed.TakePresent(kStart + 2s, {kMachine, kService});
+  CHECK(IsEnded(seed, kStart + 2s));
+  CHECK_FALSE(seed.TakeAbsence(kStart + 2s, kMachine));
+}
+
+TEST_CASE("facts are forgotten with the flows that they are about") {
+  ended_targets ended(60s);
+  CHECK(ended.Take(kStart, {kMachine, 5}));
+  CHECK_FALSE(ended.Take(kStart, {kMachine, 4}));
+  CHECK(ended.Covers(kMachine, 5));
+  CHECK_FALSE(ended.Covers(kMachine, 6));
+  ended.Expire(kStart + 61s);
+  CHECK_FALSE(ended.Covers(kMachine, 5));
+}
+
+/// After a total loss 44 of 136 machines have lost their targets before, and
+/// their agents are taken away: nobody answers for them.
+TEST_CASE("after a total loss clients of dead flows need no taken-away agent") {
+  constexpr std::uint32_t kTargets = 136;
+  constexpr std::uint32_t kTakenAway = 44;
+  entry_fixture test(kTargets);
+  for (std::uint32_t index = 0; index < kTakenAway; ++index) {
+    test.view.targets[index].gone = true;
+    test.view.targets[index].ended = true;
+  }
+  test.Confirm(kStart);
+  test.SendData(kStart);
+  for (time_point now = kStart; now < kStart + 1s; now += 15ms) {
+    // Denials widen the search, so the list grows while it is read.
+    for (std::size_t next = 0; next < test.effects.deliveries.size(); ++next) {
+      const machine_address machine = test.effects.deliveries[next].machine;
+      if (machine > kTakenAway) {
+        test.Answer(now, machine, mesh_kind::denied);
+      }
+    }
+    test.Confirm(now);
+    test.entry.Tick(now);
+  }
+  CHECK(test.effects.resets.size() == 1);
+}
+
+TEST_CASE("an agent that speaks for a target there is believed") {
+  entry_fixture test(3);
+  test.view.targets[2].gone = true;
+  test.view.targets[2].ended = true;
+  test.Confirm(kStart);
+  test.SendData(kStart + 70ms);
+  test.SendVerdict(kStart + 71ms, 3, flow_verdict::unsure);
+  // The same picture comes again.
+  test.Confirm(kStart + 72ms);
+  test.Answer(kStart + 73ms, 1, mesh_kind::denied);
+  test.Answer(kStart + 73ms, 2, mesh_kind::denied);
+  test.Confirm(kStart + 74ms);
+  test.entry.Tick(kStart + 130ms);
+  CHECK(test.effects.resets.empty());
+}
+
+}  // namespace
+}  // namespace corianderplank
--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -3,12 +3,17 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
 
 #include "net/control_port.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/listen_probe.h"
 #include "net/udp_socket.h"
 
 namespace corianderplank {
@@ -82,6 +87,31 @@
   RunWithLimit(loop);
 }
 
+TEST_CASE("a probe tells a listener from an address without one") {
+  event_loop loop;
+  std::vector<listener_state> results;
+  const auto keep = [&](listener_state state) {
+    results.push_back(state);
+    if (results.size() == 2) {
+      loop.Stop();
+    }
+  };
+  boost::asio::ip::tcp::acceptor listener(
+      loop.Context(), {boost::asio::ip::address_v4(kLoopback), 0});
+  boost::asio::ip::tcp::acceptor closed(
+      loop.Context(), {boost::asio::ip::address_v4(kLoopback), 0});
+  const std::uint16_t free_port = closed.local_endpoint().port();
+  closed.close();
+  ProbeListener(loop, {kLoopback, listener.local_endpoint().port()}, keep);
+  ProbeListener(loop, {kLoopback, free_port}, keep);
+  RunWithLimit(loop);
+  REQUIRE(results.size() == 2);
+  CHECK(std::count(results.begin(), results.end(), listener_state::present) ==
+        1);
+  CHECK(std::count(results.begin(), results.end(), listener_state::absent) ==
+        1);
+}
+
 TEST_CASE("an address in use is told") {
   event_loop loop;
   counters counted;
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -51,6 +51,8 @@
   message.round = 23;
   message.flows = {24, 25};
   message.complete = true;
+  message.absent = true;
+  message.ended = {{26, 27}};
   message.payload = "payload";
   return message;
 }
@@ -78,6 +80,10 @@
   CHECK(message->questions[0].acknowledgement == 17);
   CHECK(message->questions[0].verdict == flow_verdict::holds);
   CHECK(message->members == std::vector<std::uint32_t>{18, 19});
+  CHECK(message->absent);
+  REQUIRE(message->ended.size() == 1);
+  CHECK(message->ended[0].machine == 26);
+  CHECK(message->ended[0].revision == 27);
   REQUIRE(message->unlisted.size() == 1);
   CHECK(message->unlisted[0].machine == 20);
   CHECK(message->unlisted[0].service.value == 21);
