--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -36,7 +36,6 @@
   flows = 17,       ///< Agent to entry: all flows that it knows of.
   ended = 18,       ///< Agent to entry: its target has ended, with its flows.
   ended_elsewhere = 19,  ///< Entry to entry: targets that have ended.
-  overloaded = 20,       ///< Agent to entry: a new flow would hardly be served.
 };
 
 /// What an agent says of a flow that it was asked for.
--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -158,12 +158,6 @@
       Answer(now, mesh_kind::busy, entry, flow, {}, false, 0);
       return;
     }
-    if (found == flows_.end() &&
-        gate_.IsHopeless(now, message.terms, message.waited)) {
-      counters_.Add(result_code::opening_without_hope);
-      Answer(now, mesh_kind::overloaded, entry, flow, {}, false, 0);
-      return;
-    }
     flow_record& record = Insert(now, flow);
     record.entry = entry;
     record.terms = message.terms;
--- a/Source/core/packet_entry.cc
+++ b/Source/core/packet_entry.cc
@@ -185,10 +185,6 @@
       loads_.OnReport(now, machine, message.load);
       OnBusy(now, machine, message);
       return;
-    case mesh_kind::overloaded:
-      loads_.OnReport(now, machine, message.load);
-      OnOverloaded(now, machine, message);
-      return;
     case mesh_kind::ended:
       OnTargetEnded(now, machine);
       return;
--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -105,8 +105,6 @@
     /// Those among them whose slots were taken.
     std::vector<machine_address> busy;
     std::uint32_t refused = 0;
-    /// Those among them whose targets would hardly serve it.
-    std::vector<machine_address> overloaded;
     /// When the client sent its first copy.
     time_point began_at{};
     time_point sent_at{};
@@ -180,9 +178,6 @@
   void OnBusy(time_point now,
               machine_address machine,
               const mesh_message& message);
-  void OnOverloaded(time_point now,
-                    machine_address machine,
-                    const mesh_message& message);
   void OnRefused(time_point now,
                  machine_address machine,
                  const mesh_message& message);
--- a/Source/core/packet_entry_opening.cc
+++ b/Source/core/packet_entry_opening.cc
@@ -17,9 +17,6 @@
 /// Targets without a free slot that a flow is moved on from; then it waits at
 /// the least busy one.
 constexpr std::size_t kSoftTries = 2;
-/// Targets that say that they would hardly serve a flow before its client is
-/// told: as many as are asked for a free slot.
-constexpr std::size_t kAskedForHope = 2;
 
 }  // namespace
 
@@ -171,31 +168,6 @@
   Place(now, message.flow, found->second);
 }
 
-void packet_entry::OnOverloaded(time_point now,
-                                machine_address machine,
-                                const mesh_message& message) {
-  const auto found = flows_.find(message.flow);
-  if (found == flows_.end() || found->second.opened == nullptr ||
-      !found->second.accepted.empty()) {
-    return;
-  }
-  opening& open = *found->second.opened;
-  if (!Contains(open.tried, machine) || Contains(open.overloaded, machine)) {
-    return;
-  }
-  open.overloaded.push_back(machine);
-  const bool all_answered = std::all_of(
-      open.tried.begin(), open.tried.end(), [&](machine_address item) {
-        return Contains(open.overloaded, item) || Contains(open.busy, item);
-      });
-  if (open.overloaded.size() < kAskedForHope) {
-    Place(now, message.flow, found->second);
-  } else if (all_answered) {
-    // No target has the packet, so nothing can have run.
-    Reset(now, result_code::reset_overloaded, message.flow, 0);
-  }
-}
-
 void packet_entry::OnRefused(time_point now,
                              machine_address machine,
                              const mesh_message& message) {
--- a/Source/core/request_gate.cc
+++ b/Source/core/request_gate.cc
@@ -14,9 +14,6 @@
 /// Share of its slots by which more is handed to a target, so that it never
 /// waits for the next request to arrive. What is ahead can't be overtaken.
 constexpr std::uint32_t kAheadDivisor = 4;
-/// A request that has waited longer shows that late ones find no free slot: a
-/// good part of the time within which clients give up.
-constexpr milliseconds kStarvedAfter = 1000ms;
 /// Share of the aim that a target's work takes at most in the order: behind a
 /// slower target the newest requests go first all the same.
 constexpr double kMostWork = 0.75;
@@ -39,7 +36,7 @@
                          const flow_address& flow,
                          const request_terms& terms,
                          milliseconds waited) {
-  const ticket item{flow, terms, now - waited, now};
+  const ticket item{flow, terms, now - waited};
   const bool in_time = ChanceOf(now, item) != chance::none;
   const bool is_next = std::none_of(
       waiting_.begin(), waiting_.end(),
@@ -88,32 +85,6 @@
                                                                  : chance::none;
 }
 
-bool request_gate::IsHopeless(time_point now,
-                              const request_terms& terms,
-                              milliseconds waited) const {
-  if (slots_ == 0 || terms.aim == 0ms) {
-    return false;
-  }
-  const bool starving =
-      std::any_of(waiting_.begin(), waiting_.end(), [&](const ticket& other) {
-        return now - other.came_at > kStarvedAfter &&
-               other.terms.priority <= terms.priority;
-      });
-  if (!starving) {
-    return false;
-  }
-  const ticket item{{}, terms, now - waited, now};
-  const auto before = std::count_if(
-      waiting_.begin(), waiting_.end(),
-      [&](const ticket& other) { return !GoesBefore(now, item, other); });
-  const std::size_t ahead = passed_.size() + static_cast<std::size_t>(before);
-  if (ahead < slots_) {
-    return false;
-  }
-  const auto turns = static_cast<std::int64_t>((ahead - slots_ + 1) / slots_);
-  return waited + (turns + 1) * work_.Usual() > terms.aim;
-}
-
 std::size_t request_gate::CountInTime(time_point now) const {
   const auto in_time = std::count_if(
       waiting_.begin(), waiting_.end(),
--- a/Source/core/request_gate.h
+++ b/Source/core/request_gate.h
@@ -60,15 +60,6 @@
     return slots_ != 0 && (!waiting_.empty() || passed_.size() >= slots_);
   }
 
-  /// @param now the present time.
-  /// @param terms what a new request's route says.
-  /// @param waited how long its client has waited before.
-  /// @return whether it would miss its aim, and requests that did wait here for
-  ///     so long that it would hardly be served at all.
-  bool IsHopeless(time_point now,
-                  const request_terms& terms,
-                  std::chrono::milliseconds waited) const;
-
   /// @param now the present time.
   /// @return requests that a new one would wait for: those at the target and
   ///     those that wait and can be in time; it would overtake the others.
@@ -85,8 +76,6 @@
     request_terms terms;
     /// When its client began to wait.
     time_point began_at{};
-    /// When it came here.
-    time_point came_at{};
   };
 
   struct passed_request {
--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -193,12 +193,6 @@
      "Many flows are searched for; all agents were asked for their lists."},
     {result_code::target_ended, outcome_kind::placement, "target_ended",
      "An agent told that its target has ended, with all its flows."},
-    {result_code::opening_without_hope, outcome_kind::placement,
-     "opening_without_hope",
-     "An agent told that a new flow would hardly be served by its target."},
-    {result_code::reset_overloaded, outcome_kind::placement, "reset_overloaded",
-     "No target that was asked could serve a new flow; its client is told "
-     "before anything ran."},
 };
 
 }  // namespace
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -111,8 +111,6 @@
   opening_moved_for_load = 730,
   census_begun = 731,
   target_ended = 732,
-  opening_without_hope = 733,
-  reset_overloaded = 734,
 };
 
 /// One row of the table of codes.
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -209,7 +209,7 @@
   const auto* table = Verified<schema::Mesh>(bytes);
   if (table == nullptr ||
       table->kind() < static_cast<std::uint8_t>(mesh_kind::deliver) ||
-      table->kind() > static_cast<std::uint8_t>(mesh_kind::overloaded)) {
+      table->kind() > static_cast<std::uint8_t>(mesh_kind::ended_elsewhere)) {
     return std::nullopt;
   }
   mesh_message message;
