Agents look for a silent target and tell the clients of one that has ended

Cause: where a target crashes and its machine stays, clients of its flows repeat their packets until their deadline; only a restart of the agent found out. Idle clients are told, too: the next request of one that must not repeat it would be lost in the flow. The test is in core.

--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -18,6 +18,9 @@
 /// How long an entry's word that the target is leaving holds: it comes each
 /// second, and three losses in a row are rare.
 constexpr milliseconds kLeavingLifetime = 3500ms;
+/// A target that has answered nothing for this long after a packet is looked
+/// for: its client has sent the packet again by then.
+constexpr milliseconds kSilentAfter = 250ms;
 /// Entries that were heard within this time are told of a planned stop.
 constexpr milliseconds kEntryLifetime = 5000ms;
 /// Window of a flow: an end sends no more packets without an acknowledgement.
@@ -162,7 +165,7 @@
     record.entry = entry;
     record.terms = message.terms;
     record.began_at = now - message.waited;
-    effects_.SendToTarget(message.payload);
+    HandOver(now, *packet);
     return;
   }
   if (found == flows_.end()) {
@@ -177,7 +180,7 @@
     record.entry = entry;
     record.claim_due = true;
     record.asked_around = message.searching;
-    effects_.SendToTarget(message.payload);
+    HandOver(now, *packet);
     return;
   }
   flow_record& record = found->second;
@@ -198,6 +201,9 @@
     }
     SetPhase(record, flow_phase::open);
   }
+  if (packet->acknowledge) {
+    record.client_acknowledged = packet->acknowledgement;
+  }
   if (packet->finish || packet->reset) {
     record.client_finished = true;
     EndRequest(now, flow, record, /*answered=*/false);
@@ -208,7 +214,7 @@
     Answer(now, mesh_kind::holds, entry, flow, {}, false, 0);
   }
   if (!Hold(now, record, *packet)) {
-    effects_.SendToTarget(message.payload);
+    HandOver(now, *packet);
   }
 }
 
@@ -279,13 +285,29 @@
       continue;
     }
     for (const std::string& packet : found->second.held) {
-      effects_.SendToTarget(packet);
+      if (const auto held = format_.Decode(packet)) {
+        HandOver(now, *held);
+      }
     }
     found->second.held.clear();
   }
 }
 
+void packet_agent::HandOver(time_point now, const flow_packet& packet) {
+  const bool wants_answer = packet.payload_bytes > 0 || packet.synchronize;
+  if (wants_answer && unanswered_since_ == time_point{}) {
+    unanswered_since_ = now;
+  }
+  effects_.SendToTarget(packet.bytes);
+}
+
+bool packet_agent::IsTargetSilent(time_point now) const {
+  return unanswered_since_ != time_point{} &&
+         now - unanswered_since_ > kSilentAfter;
+}
+
 void packet_agent::OnTargetDatagram(time_point now, std::string_view bytes) {
+  unanswered_since_ = time_point{};
   const auto packet = format_.Decode(bytes);
   if (!packet) {
     counters_.Add(result_code::malformed);
@@ -429,8 +451,21 @@
   }
 }
 
+void packet_agent::TellClient(const flow_address& flow) {
+  const flow_record& record = flows_.at(flow);
+  if (record.phase != flow_phase::open || !record.client_acknowledged) {
+    return;
+  }
+  // The next request would be lost in the flow; a client that knows opens
+  // another one for it.
+  counters_.Add(result_code::reset_target_ended);
+  effects_.SendToClient(flow.client,
+                        format_.EncodeReset(flow, *record.client_acknowledged));
+}
+
 void packet_agent::OnTargetAbsent(time_point now, time_point asked_at) {
   target_was_absent_ = true;
+  unanswered_since_ = time_point{};
   std::vector<flow_address> lost;
   for (const auto& [flow, record] : flows_) {
     // A target that has started since may have the others.
@@ -442,6 +477,7 @@
     }
   }
   for (const flow_address& flow : lost) {
+    TellClient(flow);
     Remove(now, flow);
   }
   if (!stopping_ || asked_at < stopped_at_) {
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -88,6 +89,11 @@
   ///     again each second.
   bool IsTargetLeaving(time_point now) const;
 
+  /// @param now the present time.
+  /// @return whether the target has answered nothing that it got for longer
+  ///     than a working one takes; it may have ended.
+  bool IsTargetSilent(time_point now) const;
+
   /// Forgets flows that have ended or are too old.
   /// @param now the present time.
   void Tick(time_point now);
@@ -121,6 +127,8 @@
     /// where none is under way.
     std::uint32_t client_end = 0;
     bool client_spoke = false;
+    /// The client's latest acknowledgement.
+    std::optional<std::uint32_t> client_acknowledged;
     /// Packets of a request that waits at the gate.
     std::vector<std::string> held;
     bool client_finished = false;
@@ -157,6 +165,9 @@
               std::string_view packet,
               bool wrong_service,
               std::uint32_t sequence);
+  void HandOver(time_point now, const flow_packet& packet);
+  /// Tells the client of an open flow that its target has ended.
+  void TellClient(const flow_address& flow);
   /// @return whether the packet waits for the target to have room.
   bool Hold(time_point now, flow_record& record, const flow_packet& packet);
   void EndRequest(time_point now,
@@ -182,6 +193,8 @@
   bool target_was_absent_ = false;
   /// When an entry told last that the target is leaving.
   time_point leaving_told_at_{};
+  /// When the first packet was handed over that nothing has followed.
+  time_point unanswered_since_{};
   std::uint32_t open_flows_ = 0;
   busy_average busy_;
   request_gate gate_;
--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -193,6 +193,12 @@
      "Many flows are searched for; all agents were asked for their lists."},
     {result_code::target_ended, outcome_kind::placement, "target_ended",
      "An agent told that its target has ended, with all its flows."},
+    {result_code::target_silent, outcome_kind::placement, "target_silent",
+     "A target answered nothing; its agent looked whether it still listens."},
+    {result_code::reset_target_ended, outcome_kind::placement,
+     "reset_target_ended",
+     "An agent found that its target has ended and told the client of an open "
+     "flow."},
 };
 
 }  // namespace
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -111,6 +111,8 @@
   opening_moved_for_load = 730,
   census_begun = 731,
   target_ended = 732,
+  target_silent = 733,
+  reset_target_ended = 734,
 };
 
 /// One row of the table of codes.
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -130,6 +130,7 @@
             return;
           }
           agent.OnEntryMessage(ClockWithSleep(), item.from, *message);
+          LookForSilentTarget();
         },
         [this] { Flush(); });
     loop.Every(kTick, [this] { agent.Tick(ClockWithSleep()); });
@@ -206,8 +207,18 @@
     loop.After(kTargetLook, [this] { LookForTargetWhileStopping(); });
   }
 
+  // A target that has crashed says nothing; its clients repeat their packets.
+  void LookForSilentTarget() {
+    const time_point now = ClockWithSleep();
+    if (agent.IsTargetSilent(now) && now - looked_at > kTargetLook) {
+      counted.Add(result_code::target_silent);
+      LookForTarget();
+    }
+  }
+
   void LookForTarget() {
     const time_point asked_at = ClockWithSleep();
+    looked_at = asked_at;
     ProbeListener(loop, settings.target,
                   [this, asked_at](listener_state state) {
                     if (state == listener_state::present) {
@@ -221,14 +232,17 @@
   }
 
   void OnTargetAbsent(time_point asked_at) {
-    if (!target_came && ClockWithSleep() - asked_at < kAbsenceLifetime) {
+    if (ClockWithSleep() - asked_at < kAbsenceLifetime) {
       absent_at = asked_at;
       TellSeeds(/*absent=*/true);
     }
     const bool has_ended = stopping && asked_at >= stop_at;
-    if (target_ended || (target_absent && !has_ended)) {
+    const bool is_news =
+        !target_absent || target_came || has_ended || agent.OpenFlows() > 0;
+    if (target_ended || !is_news) {
       return;
     }
+    target_came = false;
     ended_at = ClockWithSleep();
     target_absent = true;
     target_ended = has_ended;
@@ -271,7 +285,8 @@
   bool target_absent = false;
   /// Something listened there at a look.
   bool target_came = false;
-  /// Begin of the last look that found nothing.
+  /// Begin of the last look, and of the last one that found nothing.
+  time_point looked_at{};
   time_point absent_at{};
   /// Nothing listened there after the stop was requested.
   bool target_ended = false;
--- a/Tests/core/packet_agent_test.cc
+++ b/Tests/core/packet_agent_test.cc
@@ -380,6 +380,47 @@
   CHECK(test.effects.answers[0].kind == mesh_kind::denied);
 }
 
+TEST_CASE("a target that crashes is missed when its clients repeat") {
+  fixture test(true);
+  test.Open();
+  test.Speak(fixture::FromTarget());
+  CHECK_FALSE(test.agent.IsTargetSilent(kStart + 1s));
+  flow_packet data = fixture::FromClient();
+  data.acknowledge = true;
+  data.acknowledgement = 501;
+  data.payload_bytes = 10;
+  test.Deliver(data, kEntry, false, kStart + 2s);
+  CHECK_FALSE(test.agent.IsTargetSilent(kStart + 2s + 200ms));
+  test.Deliver(data, kEntry, false, kStart + 2s + 200ms);
+  CHECK(test.agent.IsTargetSilent(kStart + 2s + 260ms));
+  // Nothing listens there: the client is told, and the flow denied.
+  const std::size_t heard = test.effects.to_client.size();
+  test.agent.OnTargetAbsent(kStart + 2s + 261ms, kStart + 2s + 260ms);
+  REQUIRE(test.effects.to_client.size() == heard + 1);
+  const auto reset = test.format.Decode(test.effects.to_client.back());
+  REQUIRE(reset);
+  CHECK(reset->reset);
+  CHECK(reset->sequence == 501);
+  CHECK_FALSE(test.agent.IsTargetSilent(kStart + 3s));
+  test.Deliver(data, kEntry, false, kStart + 2s + 600ms);
+  CHECK(test.effects.answers.back().kind == mesh_kind::denied);
+}
+
+TEST_CASE("a target that answers anything is not silent") {
+  fixture test(true);
+  test.Open();
+  flow_packet data = fixture::FromClient();
+  data.acknowledge = true;
+  data.acknowledgement = 501;
+  data.payload_bytes = 10;
+  test.Deliver(data, kEntry, false, kStart + 2s);
+  flow_packet answer = fixture::FromTarget();
+  answer.acknowledge = true;
+  test.agent.OnTargetDatagram(kStart + 2s + 100ms,
+                              plain_format::Encode(answer));
+  CHECK_FALSE(test.agent.IsTargetSilent(kStart + 3s));
+}
+
 TEST_CASE("a flow of a target that started during the look stays") {
   fixture test(false);
   // The process slept: the refusal is handled after the flow was opened.
