belief_keeper split: messenger, fetcher and log are modules of their own; greetings in two datagrams

A greeting's answer with many agents, members and ended targets could exceed the receivers' 2,048 bytes and was lost as malformed. More than 72 agents without a listed target are not said to be all.

--- a/Source/packet/belief_keeper.cc
+++ b/Source/packet/belief_keeper.cc
@@ -8,10 +8,11 @@
 #include "core/fleet_belief.h"
 #include "core/fleet_members.h"
 #include "core/reader_schedule.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/sleep_clock.h"
-#include "net/udp_socket.h"
+#include "packet/belief_fetcher.h"
+#include "packet/belief_log.h"
+#include "packet/peer_messenger.h"
 #include "product/log.h"
 #include "wire/mesh_codec.h"
 
@@ -26,6 +27,9 @@
 /// Entries tell the seeds that they run: twice within the life of a member.
 constexpr milliseconds kHelloPeriod = 2000ms;
 constexpr milliseconds kFirstHelloPeriod = 50ms;
+/// Agents without a listed target that fit a datagram. Where there are more, it
+/// is not said that all are known: lists show them within seconds.
+constexpr std::size_t kMaxToldAgents = 72;
 /// Addresses that fit a datagram of an ordinary network.
 constexpr std::size_t kMaxToldMembers = 200;
 /// Facts of 16 bytes that fit beside these; others are told by a whole belief.
@@ -39,12 +43,6 @@
 /// Age that is added to an update at a relay, for its time on the way there:
 /// some ways between failure domains.
 constexpr milliseconds kRelayMargin = 10ms;
-/// Targets whose changes are told in lines of their own; a whole list is one
-/// line, since the first flows wait for it.
-constexpr std::size_t kMaxLoggedChanges = 48;
-/// Before a member fetches from its relay what that is fetching itself.
-constexpr milliseconds kRelayFetchDelay = 300ms;
-constexpr milliseconds kFetchTimeout = 800ms;
 /// A tick that is later than this means that the process was asleep.
 constexpr milliseconds kAsleepAfter = 1000ms;
 /// After a sleep, datagrams that waited in the socket are not believed.
@@ -66,7 +64,11 @@
         belief({settings.longest_flow, belief_limits().return_grace},
                settings.first_start),
         schedule(settings.address, reader_periods()),
-        socket(loop, {settings.address, settings.peer_port}, counted, nullptr),
+        peers(loop, {settings.address, settings.peer_port}, counted),
+        fetcher(loop,
+                settings.belief.port,
+                counted,
+                [this](const belief_update& update) { OnFetched(update); }),
         server(loop,
                settings.belief,
                [this](const http_request& request, auto responder) {
@@ -76,8 +78,7 @@
   void Start() {
     ticked_at = ClockWithSleep();
     roster.Start(ticked_at);
-    socket.Receive([this](const received_datagram& item) { OnDatagram(item); },
-                   [this] { socket.Flush(); });
+    peers.Receive([this](const received_datagram& item) { OnDatagram(item); });
     Tick();
     SayHello();
   }
@@ -180,32 +181,7 @@
     if (!belief.TakeConfiguration(configuration)) {
       return;
     }
-    LogEvent(log_level::info, "configuration_in_force",
-             {{"version", std::to_string(configuration->version)},
-              {"revision", std::to_string(configuration->revision)},
-              {"source", from}});
-  }
-
-  void LogChanges(time_point now) {
-    const std::vector<fleet_target> changes = belief.CollectChanges();
-    if (changes.size() > kMaxLoggedChanges) {
-      LogEvent(log_level::info, "targets_changed",
-               {{"targets", std::to_string(changes.size())},
-                {"revision", std::to_string(belief.Revision())},
-                {"picture_age_ms",
-                 std::to_string((now - belief.ConfirmedAt()) / 1ms)}});
-      return;
-    }
-    for (const fleet_target& item : changes) {
-      LogEvent(log_level::info, "target_changed",
-               {{"target", FormatEndpoint(item.address)},
-                {"state", item.gone                           ? "gone"
-                          : item.state == target_state::ready ? "ready"
-                                                              : "draining"},
-                {"revision", std::to_string(item.revision)},
-                {"picture_age_ms",
-                 std::to_string((now - belief.ConfirmedAt()) / 1ms)}});
-    }
+    LogConfiguration(*configuration, from);
   }
 
   void LogReader() {
@@ -218,7 +194,7 @@
   }
 
   void Publish(time_point now) {
-    LogChanges(now);
+    LogTargetChanges(now, belief);
     LogReader();
     if (!IsReady()) {
       return;
@@ -244,20 +220,10 @@
       update.base_revision = update.revision;
     }
     for (const belief_update& part : SplitUpdate(std::move(update), kMaxRows)) {
-      Spread(now, part, receivers);
+      peers.Spread(now, part, receivers);
     }
   }
 
-  void Spread(time_point now,
-              const belief_update& update,
-              const std::vector<member_address>& receivers) {
-    const std::string bytes = EncodeBelief(update, now);
-    mesh_message message;
-    message.kind = mesh_kind::belief;
-    message.payload = bytes;
-    PassOn(message, receivers);
-  }
-
   // Agents refuse new flows while their targets leave, whatever other entries
   // believe, and tell the seeds that they still run.
   void TellLeaving(time_point now) {
@@ -266,13 +232,12 @@
     }
     mesh_message message;
     message.kind = mesh_kind::drain;
-    const std::string_view datagram = encoder.Encode(message);
     for (const auto& [id, item] : belief.Targets()) {
       if (!item.TakesFlows(now) && !IsListedAgain(item)) {
-        socket.Send({item.address.address, settings.delivery_port}, datagram);
+        peers.Send({item.address.address, settings.delivery_port}, message);
       }
     }
-    socket.Flush();
+    peers.Flush();
   }
 
   // Whether the machine of a target that left has another one now.
@@ -289,13 +254,12 @@
     mesh_message message;
     message.kind = mesh_kind::hello;
     message.round = belief.Ended().Digest();
-    const std::string_view datagram = encoder.Encode(message);
     for (const endpoint& seed : settings.seeds) {
       if (seed.address != settings.address) {
-        socket.Send({seed.address, settings.peer_port}, datagram);
+        peers.Send({seed.address, settings.peer_port}, message);
       }
     }
-    socket.Flush();
+    peers.Flush();
     const bool knows = belief.KnowsAllHolders(ClockWithSleep());
     loop.After(
         members.Count() == 0 || !knows ? kFirstHelloPeriod : kHelloPeriod,
@@ -325,7 +289,7 @@
         OnMembers(now, *message);
         return;
       case mesh_kind::ended_elsewhere:
-        PassOn(*message, message->members);
+        peers.PassOn(*message, message->members);
         OnEnded(now, message->ended, "peer");
         return;
       case mesh_kind::belief:
@@ -354,14 +318,14 @@
     if (listed) {
       mesh_message reply;
       reply.kind = mesh_kind::listed;
-      socket.Send(from, encoder.Encode(reply));
+      peers.Send(from, reply);
       return;
     }
     belief.TakePresent(now, agent);
     const auto fact =
         absent ? belief.TakeAbsence(now, agent.machine) : std::nullopt;
     if (fact) {
-      LogEnded({*fact}, "agent");
+      LogEndedTargets({*fact}, "agent");
       Publish(now);
       TellEnded(*fact);
     }
@@ -374,43 +338,29 @@
       return;
     }
     loop.After(kGatherEnded, [this] {
-      mesh_message message;
-      message.kind = mesh_kind::ended_elsewhere;
-      message.ended = std::exchange(ended_to_tell, {});
-      PassOn(message, members.All());
+      const std::vector<member_address> receivers = members.All();
+      const std::vector<ended_target> facts = std::exchange(ended_to_tell, {});
+      for (std::size_t at = 0; at < facts.size(); at += kMaxToldEnded) {
+        const std::size_t end = std::min(facts.size(), at + kMaxToldEnded);
+        mesh_message message;
+        message.kind = mesh_kind::ended_elsewhere;
+        message.ended.assign(facts.begin() + static_cast<std::ptrdiff_t>(at),
+                             facts.begin() + static_cast<std::ptrdiff_t>(end));
+        peers.PassOn(std::move(message), receivers);
+      }
     });
   }
 
-  // Sends a message to some entries, which pass it on to the others.
-  void PassOn(mesh_message message,
-              const std::vector<member_address>& receivers) {
-    for (relay_branch& branch : SplitReceivers(receivers)) {
-      message.members = std::move(branch.rest);
-      socket.Send({branch.head, settings.peer_port}, encoder.Encode(message));
-    }
-    socket.Flush();
-  }
-
   void OnEnded(time_point now,
                const std::vector<ended_target>& ended,
                const std::string& from) {
     const std::vector<ended_target> news = belief.TakeEnded(now, ended);
     if (!news.empty()) {
-      LogEnded(news, from);
+      LogEndedTargets(news, from);
       Publish(now);
     }
   }
 
-  void LogEnded(const std::vector<ended_target>& news,
-                const std::string& from) {
-    for (const ended_target& fact : news) {
-      LogEvent(log_level::info, "target_ended",
-               {{"machine", FormatEndpoint({fact.machine, 0})},
-                {"revision", std::to_string(fact.revision)},
-                {"source", from}});
-    }
-  }
-
   void OnMembers(time_point now, const mesh_message& message) {
     for (const std::uint32_t member : message.members) {
       if (member != settings.address) {
@@ -437,18 +387,26 @@
     return is_seed && roster.HasSettled(now, belief);
   }
 
+  // Two datagrams, since either may be nearly full.
   void OnHello(const endpoint& from, std::uint32_t digest) {
-    mesh_message reply;
-    reply.kind = mesh_kind::members;
-    reply.settled = HasSettled(ClockWithSleep());
-    reply.unlisted = roster.Unlisted();
+    const time_point now = ClockWithSleep();
+    mesh_message agents;
+    agents.kind = mesh_kind::members;
+    agents.unlisted = roster.Unlisted();
+    agents.settled =
+        HasSettled(now) && agents.unlisted.size() <= kMaxToldAgents;
+    agents.unlisted.resize(std::min(agents.unlisted.size(), kMaxToldAgents));
+    peers.Send(from, agents);
+    mesh_message others;
+    others.kind = mesh_kind::members;
     if (digest != belief.Ended().Digest()) {
-      reply.ended = belief.Ended().All();
-      reply.ended.resize(std::min(reply.ended.size(), kMaxToldEnded));
+      others.ended = belief.Ended().All();
+      others.ended.resize(std::min(others.ended.size(), kMaxToldEnded));
+    }
+    others.members = members.Heard(now, from.address, kMaxToldMembers);
+    if (!others.members.empty() || !others.ended.empty()) {
+      peers.Send(from, others);
     }
-    reply.members =
-        members.Heard(ClockWithSleep(), from.address, kMaxToldMembers);
-    socket.Send(from, encoder.Encode(reply));
   }
 
   void OnBelief(time_point now,
@@ -463,13 +421,20 @@
     if (relayed) {
       update->age += kRelayMargin;
     }
-    Spread(now, *update, message.members);
+    peers.Spread(now, *update, message.members);
     gap_seen =
         belief.Revision() != 0 && update->base_revision > belief.Revision();
     const bool fits = belief.Revision() != 0 &&
                       belief.TakeUpdate(now, *update) == update_fit::taken;
     if (!fits || !HasVersion(update->configuration_version)) {
-      FetchSoon(from.address, update->configuration_version, relayed);
+      const std::uint64_t version = update->configuration_version;
+      if (relayed) {
+        fetcher.FetchFromRelay(from.address, [this, version] {
+          return !HasVersion(version) || belief.Revision() == 0 || gap_seen;
+        });
+      } else {
+        fetcher.Fetch(from.address);
+      }
     }
     if (fits) {
       schedule.OnPeerRead(now, update->reader, update->age);
@@ -477,28 +442,13 @@
     }
   }
 
-  // The relay of an update fetches at the same time, from the reader.
-  void FetchSoon(std::uint32_t peer, std::uint64_t version, bool relayed) {
-    if (!relayed) {
-      Fetch(peer);
-    } else if (!fetch_planned) {
-      fetch_planned = true;
-      loop.After(kRelayFetchDelay, [this, peer, version] {
-        fetch_planned = false;
-        if (!HasVersion(version) || belief.Revision() == 0 || gap_seen) {
-          Fetch(peer);
-        }
-      });
-    }
-  }
-
   bool HasVersion(std::uint64_t version) const {
     return version == 0 || (belief.Configuration() != nullptr &&
                             belief.Configuration()->version >= version);
   }
 
   void FetchFromAny() {
-    std::vector<std::uint32_t> known;
+    std::vector<member_address> known;
     for (const endpoint& seed : settings.seeds) {
       if (seed.address != settings.address) {
         known.push_back(seed.address);
@@ -507,47 +457,14 @@
     for (const member_address member : members.All()) {
       known.push_back(member);
     }
-    if (!known.empty()) {
-      Fetch(known[fetches++ % known.size()]);
-    }
+    fetcher.FetchFromAny(known);
   }
 
-  // A peer's whole belief, over TCP since a configuration may be large.
-  void Fetch(std::uint32_t peer) {
-    if (fetching) {
-      return;
-    }
-    fetching = true;
-    auto& client = clients[peer];
-    if (client == nullptr) {
-      client = std::make_unique<http_client>(
-          loop, endpoint{peer, settings.belief.port});
-    }
-    client_request request;
-    request.target = "/belief";
-    request.timeout = kFetchTimeout;
-    const time_point began = ClockWithSleep();
-    client->Send(request, [this, began](const client_result& result) {
-      fetching = false;
-      OnFetched(began, result);
-    });
-  }
-
-  void OnFetched(time_point began, const client_result& result) {
+  void OnFetched(const belief_update& update) {
     const time_point now = ClockWithSleep();
-    auto update =
-        result.status == client_status::completed && result.code == 200
-            ? DecodeBelief(result.body, now)
-            : std::nullopt;
-    if (!update) {
-      counted.Add(result_code::read_failed);
-      return;
-    }
-    // The peer told its age when it answered, at the latest now.
-    update->age += std::chrono::duration_cast<milliseconds>(now - began);
-    belief.TakeUpdate(now, *update);
-    TakeConfiguration(source.ParseConfiguration(update->configuration,
-                                                update->configuration_revision),
+    belief.TakeUpdate(now, update);
+    TakeConfiguration(source.ParseConfiguration(update.configuration,
+                                                update.configuration_revision),
                       "peer");
     Publish(now);
   }
@@ -574,19 +491,15 @@
   view_callback on_view;
   fleet_belief belief;
   reader_schedule schedule;
-  udp_socket socket;
+  peer_messenger peers;
+  belief_fetcher fetcher;
   http_server server;
-  mesh_encoder encoder;
   fleet_members members;
-  std::unordered_map<std::uint32_t, std::unique_ptr<http_client>> clients;
   agent_roster roster;
   std::vector<ended_target> ended_to_tell;
   time_point ticked_at{};
   time_point woke_at{};
   time_point expired_at{};
-  std::size_t fetches = 0;
-  bool fetching = false;
-  bool fetch_planned = false;
   /// Rows were missing before the latest update.
   bool gap_seen = false;
   bool list_needed = false;
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -105,6 +105,17 @@
   message.kind = mesh_kind::ask;
   message.questions.resize(kMaxQuestions);
   CHECK(encoder.Encode(message).size() < kDatagramBytes);
+  // What an entry tells a newcomer stays below an Ethernet frame.
+  constexpr std::size_t kFrameBytes = 1472;
+  mesh_message agents;
+  agents.kind = mesh_kind::members;
+  agents.unlisted.resize(72, {1, {2}});
+  CHECK(encoder.Encode(agents).size() < kFrameBytes);
+  mesh_message others;
+  others.kind = mesh_kind::members;
+  others.members.resize(200, 1);
+  others.ended.resize(32, {1, 2});
+  CHECK(encoder.Encode(others).size() < kFrameBytes);
 }
 
 TEST_CASE("a belief comes back as it was, its times as durations") {
