Absences told before the first list count; start times that an entry contradicts do not

Early absences are kept for 1.5 s until there is a list. An agent greets after its first look. Cause 2, looked for: an agent concluded from the target's start time that both started together. On a machine whose time of day has jumped back in between that makes it deny flows that its target holds, and they would be reset. An entry that has known the target for longer than the agent runs now goes first (packet_agent_test fails without it). Not proved: all entries and the agent restarted within seconds of the target's start and of the jump.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -201,7 +201,8 @@
     VT_FLOWS = 48,
     VT_COMPLETE = 50,
     VT_ABSENT = 52,
-    VT_ENDED = 54
+    VT_ENDED = 54,
+    VT_KNOWN_FOR_MS = 56
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -281,6 +282,9 @@
   const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *ended() const {
     return GetPointer<const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *>(VT_ENDED);
   }
+  uint32_t known_for_ms() const {
+    return GetField<uint32_t>(VT_KNOWN_FOR_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -315,6 +319,7 @@
            VerifyField<uint8_t>(verifier, VT_ABSENT, 1) &&
            VerifyOffset(verifier, VT_ENDED) &&
            verifier.VerifyVector(ended()) &&
+           VerifyField<uint32_t>(verifier, VT_KNOWN_FOR_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -401,6 +406,9 @@
   void add_ended(flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended) {
     fbb_.AddOffset(Mesh::VT_ENDED, ended);
   }
+  void add_known_for_ms(uint32_t known_for_ms) {
+    fbb_.AddElement<uint32_t>(Mesh::VT_KNOWN_FOR_MS, known_for_ms, 0);
+  }
   explicit MeshBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -439,10 +447,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> flows = 0,
     bool complete = false,
     bool absent = false,
-    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended = 0,
+    uint32_t known_for_ms = 0) {
   MeshBuilder builder_(_fbb);
   builder_.add_born_ms(born_ms);
   builder_.add_service(service);
+  builder_.add_known_for_ms(known_for_ms);
   builder_.add_ended(ended);
   builder_.add_flows(flows);
   builder_.add_round(round);
@@ -497,7 +507,8 @@
     const std::vector<uint32_t> *flows = nullptr,
     bool complete = false,
     bool absent = false,
-    const std::vector<corianderplank::schema::EndedTarget> *ended = nullptr) {
+    const std::vector<corianderplank::schema::EndedTarget> *ended = nullptr,
+    uint32_t known_for_ms = 0) {
   auto questions__ = questions ? _fbb.CreateVectorOfStructs<corianderplank::schema::Question>(*questions) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   auto unlisted__ = unlisted ? _fbb.CreateVectorOfStructs<corianderplank::schema::PresentAgent>(*unlisted) : 0;
@@ -531,7 +542,8 @@
       flows__,
       complete,
       absent,
-      ended__);
+      ended__,
+      known_for_ms);
 }
 
 struct Target FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/core/fleet.h
+++ b/Source/core/fleet.h
@@ -33,6 +33,8 @@
   std::uint64_t revision = 0;
   /// Unix time of its start in milliseconds; 0 when not told.
   std::int64_t born_ms = 0;
+  /// When it was seen first here, by the clock that does not jump.
+  time_point seen_since{};
   /// Until when it answers slowly after its start.
   time_point cold_until{};
   /// It is not in the list any more.
--- a/Source/core/fleet_belief.cc
+++ b/Source/core/fleet_belief.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <unordered_set>
+#include <utility>
 
 namespace corianderplank {
 namespace {
@@ -18,6 +19,9 @@
 /// Age at which a seed's word on the agents that run is too old: it speaks at
 /// least once a second while it runs.
 constexpr milliseconds kAgentsKnownFor = 5000ms;
+/// Age from which an early absence tells nothing: a target that has started
+/// since cannot have been listed and have left within this time.
+constexpr milliseconds kEarlyLifetime = 1500ms;
 /// Only the machine of a target that is not listed is known.
 constexpr std::uint16_t kAnyPort = 1;
 /// Bound on remembered dropped routes; later ones push out the oldest.
@@ -79,7 +83,7 @@
   if (found == targets_.end()) {
     // What has left without an address cannot hold a flow that is known here.
     if (row.address.IsValid()) {
-      targets_.emplace(row.id, row);
+      targets_.emplace(row.id, row).first->second.seen_since = now;
       changed_.push_back(row.id);
     }
     return;
@@ -97,7 +101,10 @@
     // A heartbeat; the row's revision stays that of the last real change.
     return;
   }
+  const time_point seen_since =
+      row.born_ms == item.born_ms ? item.seen_since : now;
   item = row;
+  item.seen_since = seen_since;
   changed_.push_back(row.id);
 }
 
@@ -275,18 +282,37 @@
 
 std::optional<ended_target> fleet_belief::TakeAbsence(time_point now,
                                                       std::uint32_t machine) {
+  if (revision_ == 0) {
+    early_absences_[machine] = now;
+    return std::nullopt;
+  }
   const bool listed =
       std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
         return !entry.second.gone && entry.second.address.address == machine;
       });
   const ended_target fact{machine, revision_};
-  if (revision_ == 0 || listed || !HasHolder(machine) ||
-      !ended_.Take(now, fact)) {
+  if (listed || !HasHolder(machine) || !ended_.Take(now, fact)) {
     return std::nullopt;
   }
   return fact;
 }
 
+std::vector<ended_target> fleet_belief::TakeEarlyAbsences(time_point now) {
+  std::vector<ended_target> facts;
+  if (revision_ == 0) {
+    return facts;
+  }
+  for (const auto& [machine, told_at] : std::exchange(early_absences_, {})) {
+    if (now - told_at > kEarlyLifetime) {
+      continue;
+    }
+    if (const auto fact = TakeAbsence(now, machine)) {
+      facts.push_back(*fact);
+    }
+  }
+  return facts;
+}
+
 bool fleet_belief::HasHolder(std::uint32_t machine) const {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
     const fleet_target& item = entry.second;
--- a/Source/core/fleet_belief.h
+++ b/Source/core/fleet_belief.h
@@ -101,6 +101,11 @@
   std::optional<ended_target> TakeAbsence(time_point now,
                                           std::uint32_t machine);
 
+  /// Takes up what agents told before there was a list.
+  /// @param now the present time.
+  /// @return what is to be told to others.
+  std::vector<ended_target> TakeEarlyAbsences(time_point now);
+
   /// Another entry tells of targets that have ended.
   /// @param now the present time.
   /// @param ended targets that have ended.
@@ -161,6 +166,8 @@
   belief_limits limits_;
   bool first_start_;
   ended_targets ended_;
+  /// Machines without a target that were told of before any list, with when.
+  std::unordered_map<std::uint32_t, time_point> early_absences_;
   std::unordered_map<target_id, fleet_target, identifier_hash> targets_;
   std::shared_ptr<const fleet_configuration> configuration_;
   /// Routes that earlier versions had.
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -75,6 +75,8 @@
   bool searching = false;
   /// Deliver: Unix time of the target's start, by its own machine's clock.
   std::int64_t born_ms = 0;
+  /// Deliver, ask, list_flows: how long the entry has known this target.
+  std::chrono::milliseconds known_for{0};
   /// Deliver: slots of the target, and what the flow's route says.
   std::uint32_t slots = 0;
   request_terms terms;
--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -44,8 +44,10 @@
 
 bool packet_agent::KnowsAllFlows(time_point now, std::int64_t born_ms) const {
   // A target that started with this agent got no packet from an earlier one.
+  // Times of day may have jumped since the target's start, so an entry that has
+  // known it for longer goes first.
   const bool started_together =
-      born_ms != 0 && settings_.started_ms != 0 &&
+      born_ms != 0 && born_ms != older_born_ms_ && settings_.started_ms != 0 &&
       born_ms > settings_.started_ms - kShortestRestart.count();
   return target_was_absent_ || settings_.first_start || started_together ||
          now - started_at_ > settings_.longest_flow;
@@ -55,6 +57,10 @@
                                   const endpoint& entry,
                                   const mesh_message& message) {
   entries_[entry] = now;
+  if (message.service == settings_.service &&
+      message.known_for > now - started_at_ + kShortestRestart) {
+    older_born_ms_ = message.born_ms;
+  }
   if (message.slots != 0 && message.service == settings_.service) {
     gate_.SetSlots(message.slots);
   }
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -195,6 +195,8 @@
   time_point leaving_told_at_{};
   /// When the first packet was handed over that nothing has followed.
   time_point unanswered_since_{};
+  /// Start of a target that an entry has known for longer than this agent runs.
+  std::int64_t older_born_ms_ = 0;
   std::uint32_t open_flows_ = 0;
   busy_average busy_;
   request_gate gate_;
--- a/Source/core/packet_entry.cc
+++ b/Source/core/packet_entry.cc
@@ -204,6 +204,8 @@
     message.service = target->service;
     message.slots = target->slots;
     message.born_ms = target->gone ? 0 : target->born_ms;
+    message.known_for = std::chrono::duration_cast<milliseconds>(
+        seen_at_ - std::min(seen_at_, target->seen_since));
   }
   return message;
 }
--- a/Source/packet/belief_keeper.cc
+++ b/Source/packet/belief_keeper.cc
@@ -157,6 +157,7 @@
     }
     TakeConfiguration(read.configuration, "platform");
     schedule.OnReadEnd(now, true);
+    TakeEarlyAbsences(now);
     Publish(now);
     Broadcast(now, base);
   }
@@ -331,6 +332,13 @@
     }
   }
 
+  void TakeEarlyAbsences(time_point now) {
+    for (const ended_target& fact : belief.TakeEarlyAbsences(now)) {
+      LogEndedTargets({fact}, "agent");
+      TellEnded(fact);
+    }
+  }
+
   // Agents that are taken away with their targets come at about one time.
   void TellEnded(const ended_target& fact) {
     ended_to_tell.push_back(fact);
@@ -463,6 +471,7 @@
   void OnFetched(const belief_update& update) {
     const time_point now = ClockWithSleep();
     belief.TakeUpdate(now, update);
+    TakeEarlyAbsences(now);
     TakeConfiguration(source.ParseConfiguration(update.configuration,
                                                 update.configuration_revision),
                       "peer");
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -39,6 +39,9 @@
 /// After the agent's start: when it looks first whether there is a target; the
 /// pause doubles, since each look is a connection to the target.
 constexpr milliseconds kFirstTargetLook = 100ms;
+/// The first look on the agent's own machine is over by then, and the first
+/// greeting tells what it has found.
+constexpr milliseconds kFirstLookTakes = 5ms;
 /// An older look tells nothing about now: far below the time in which a target
 /// starts, is listed and leaves.
 constexpr milliseconds kAbsenceLifetime = 500ms;
@@ -140,10 +143,10 @@
                 {"flows", std::to_string(agent.OpenFlows())}});
     });
     started_at = ClockWithSleep();
-    TellPresence();
     if (!settings.first_start) {
       LookForTargetAfterStart(kFirstTargetLook);
     }
+    loop.After(kFirstLookTakes, [this] { TellPresence(); });
     loop.OnStopSignal([this] { OnStop(); });
     watcher.Start();
   }
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -199,6 +199,7 @@
   table.add_flows(flows);
   table.add_complete(message.complete);
   table.add_absent(message.absent);
+  table.add_known_for_ms(ToMilliseconds(message.known_for));
   table.add_ended(ended);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
@@ -253,6 +254,7 @@
   message.round = table->round();
   message.complete = table->complete();
   message.absent = table->absent();
+  message.known_for = milliseconds(table->known_for_ms());
   message.ended = FromSchema(table->ended());
   message.payload = ViewOf(table->payload());
   return message;
--- a/Tests/core/ended_targets_test.cc
+++ b/Tests/core/ended_targets_test.cc
@@ -68,6 +68,24 @@
   CHECK(belief.TakeAbsence(kStart + 1s, kMachine));
 }
 
+TEST_CASE("an absence that is told before the first list is kept for it") {
+  for (const auto pause : {400ms, 1600ms}) {
+    fleet_belief seed(belief_limits(), /*first_start=*/false);
+    seed.TakePresent(kStart, {kMachine, kService});
+    seed.TakePresent(kStart, {kMachine + 1, kService});
+    CHECK_FALSE(seed.TakeAbsence(kStart, kMachine));
+    CHECK_FALSE(seed.TakeAbsence(kStart, kMachine + 1));
+    // A target is listed at the other machine.
+    fleet_target listed = Row(9, 40);
+    listed.address.address = kMachine + 1;
+    seed.TakeList(kStart + pause, kStart + pause, 50, {listed});
+    const auto facts = seed.TakeEarlyAbsences(kStart + pause);
+    CHECK(facts.size() == (pause < 1s ? 1 : 0));
+    CHECK(IsEnded(seed, kStart + pause) == (pause < 1s));
+    CHECK(seed.TakeEarlyAbsences(kStart + pause).empty());
+  }
+}
+
 TEST_CASE("a target that starts there right afterwards is a holder") {
   for (const bool same_id : {true, false}) {
     fleet_belief belief(belief_limits(), /*first_start=*/false);
--- a/Tests/core/fleet_belief_test.cc
+++ b/Tests/core/fleet_belief_test.cc
@@ -81,6 +81,25 @@
   CHECK(partial.ConfirmedAt() == kStart);
 }
 
+TEST_CASE("how long a target is known does not depend on times of day") {
+  fleet_belief belief = MakeBelief();
+  fleet_target row = MakeTarget("a", 1, 3);
+  row.born_ms = 100;
+  const auto seen_since = [&] {
+    return belief.Targets().at(TargetIdOf("a")).seen_since;
+  };
+  belief.TakeList(kStart, kStart, 10, {row});
+  row.state = target_state::draining;
+  row.revision = 12;
+  belief.TakeChanges(kStart + 1s, kStart + 1s, 12, {row});
+  CHECK(seen_since() == kStart);
+  // It starts once more under its name; its clock has jumped back.
+  row.born_ms = 90;
+  row.revision = 13;
+  belief.TakeChanges(kStart + 2s, kStart + 2s, 13, {row});
+  CHECK(seen_since() == kStart + 2s);
+}
+
 TEST_CASE("an older list changes nothing") {
   fleet_belief belief = MakeBelief();
   belief.TakeList(kStart, kStart, 10, {MakeTarget("a", 1, 3)});
--- a/Tests/core/packet_agent_test.cc
+++ b/Tests/core/packet_agent_test.cc
@@ -247,6 +247,34 @@
   }
 }
 
+TEST_CASE("a clock that has jumped back does not make an agent sure") {
+  plain_format format;
+  agent_recorder effects;
+  counters counted;
+  packet_agent_settings settings;
+  settings.service = kService;
+  // The target started 1.5 s before the agent, whose clock is 2 s behind now.
+  settings.started_ms = 98000;
+  packet_agent agent(kStart, settings, format, effects, counted);
+  mesh_message question;
+  question.kind = mesh_kind::ask;
+  question.service = kService;
+  question.born_ms = 98500;
+  question.known_for = 1200ms;
+  question.questions = {{kFlow, 501, flow_verdict::unsure}};
+  agent.OnEntryMessage(kStart + 50ms, kEntry, question);
+  REQUIRE(effects.answers.size() == 1);
+  CHECK(effects.answers[0].questions[0].verdict == flow_verdict::unsure);
+  // An entry that has just started does not make it sure again.
+  question.known_for = 0ms;
+  agent.OnEntryMessage(kStart + 60ms, kOtherEntry, question);
+  CHECK(effects.answers[1].questions[0].verdict == flow_verdict::unsure);
+  // A later target is another one.
+  question.born_ms = 99500;
+  agent.OnEntryMessage(kStart + 70ms, kOtherEntry, question);
+  CHECK(effects.answers[2].questions[0].verdict == flow_verdict::denied);
+}
+
 TEST_CASE("a packet for another service never reaches the target") {
   fixture test;
   test.Open();
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -52,6 +52,7 @@
   message.flows = {24, 25};
   message.complete = true;
   message.absent = true;
+  message.known_for = 28ms;
   message.ended = {{26, 27}};
   message.payload = "payload";
   return message;
@@ -81,6 +82,7 @@
   CHECK(message->questions[0].verdict == flow_verdict::holds);
   CHECK(message->members == std::vector<std::uint32_t>{18, 19});
   CHECK(message->absent);
+  CHECK(message->known_for == 28ms);
   REQUIRE(message->ended.size() == 1);
   CHECK(message->ended[0].machine == 26);
   CHECK(message->ended[0].revision == 27);
