Log announced configurations and the position of a new reader

An entry that knew of a newer configuration version without having its text left no trace, and neither did the revision from which a new reader reads on. Both are needed to separate 'the position is ahead of what the entry has' from 'the reader cannot reach the store'. No logic changes.

--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -201,7 +201,9 @@
       logged_as_reader = schedule.IsReader();
       LogEvent(log_level::info,
                logged_as_reader ? "reads_for_all" : "hears_from_reader",
-               {{"members", std::to_string(members.Count())}});
+               {{"members", std::to_string(members.Count())},
+                {"revision", std::to_string(fleet.Revision())},
+                {"version", std::to_string(ConfigurationVersion())}});
     }
   }
 
@@ -464,6 +466,13 @@
     const bool applied =
         fleet.Revision() != 0 &&
         fleet.ApplyUpdate(now, *update) == update_result::applied;
+    if (!HasConfigurationVersion(update->configuration_version)) {
+      LogEvent(log_level::info, "configuration_announced",
+               {{"version", std::to_string(update->configuration_version)},
+                {"version_in_force", std::to_string(ConfigurationVersion())},
+                {"revision", std::to_string(fleet.Revision())},
+                {"reader", FormatEndpoint({update->reader, 0})}});
+    }
     if (!applied || !HasConfigurationVersion(update->configuration_version)) {
       const std::uint64_t version = update->configuration_version;
       if (relayed) {
@@ -481,9 +490,14 @@
     }
   }
 
+  /// Returns 0 before the first configuration.
+  std::uint64_t ConfigurationVersion() const {
+    return fleet.Configuration() == nullptr ? 0
+                                            : fleet.Configuration()->version;
+  }
+
   bool HasConfigurationVersion(std::uint64_t version) const {
-    return version == 0 || (fleet.Configuration() != nullptr &&
-                            fleet.Configuration()->version >= version);
+    return ConfigurationVersion() >= version;
   }
 
   void FetchFromNextPeer() {
