Take a peer's position only with the configuration it names

What callers saw: for up to nine seconds after the store had acknowledged a change, requests were handled by the version before (CONFIG).

Cause: an entry that received the reader's update took over its revision at once and fetched the text of the configuration afterwards. When the reader stopped in these 3 ms, all entries were past the configuration's revision without having it, and the next reader read the changes after that revision. Class: a position in a history that is ahead of what was taken from it.

Change: an update confirms the fleet state, and moves its revision, only when the configuration it names is in force. Until then rows are taken, but the next reader reads from before the configuration. A version that any peer has named is required from then on: updates of a reader that lacks it itself, such as one of an older build, neither confirm the state nor defer an own read. The separate record of gaps is gone, since the revision now says what is missing.

--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -176,8 +176,7 @@
 bool fleet_state::ApplyConfiguration(
     std::shared_ptr<const fleet_configuration> configuration) {
   if (configuration == nullptr ||
-      (configuration_ != nullptr &&
-       configuration->version <= configuration_->version)) {
+      configuration->version <= ConfigurationVersion()) {
     return false;
   }
   if (configuration_ != nullptr) {
@@ -202,9 +201,16 @@
                                        const fleet_update& update) {
   DetectSourceOutage(now, now - update.age);
   ApplyRows(now, update.targets);
+  announced_version_ =
+      std::max(announced_version_, update.configuration_version);
   if (update.base_revision > revision_) {
     return update_result::gap;
   }
+  if (announced_version_ > ConfigurationVersion()) {
+    return update.configuration_version == announced_version_
+               ? update_result::lacks_configuration
+               : update_result::sender_lacks_configuration;
+  }
   const bool first = confirmed_at_ == time_point{};
   if (update.base_revision == 0) {
     // The sender has no rows for targets that were removed before it started.
--- a/Source/core/fleet_state.h
+++ b/Source/core/fleet_state.h
@@ -38,6 +38,11 @@
 enum class update_result : std::uint8_t {
   applied,  ///< Rows and confirmation were applied.
   gap,      ///< Rows were applied; earlier changes are missing.
+  /// Rows were applied; the configuration that the update names is missing.
+  lacks_configuration,
+  /// Rows were applied; a configuration is missing that the sender does not
+  /// have either.
+  sender_lacks_configuration,
 };
 
 /// Table of targets and the newest configuration. Rows with an older revision
@@ -80,9 +85,12 @@
   bool ApplyConfiguration(
       std::shared_ptr<const fleet_configuration> configuration);
 
+  /// Confirms the state only if everything up to the update's revision is
+  /// present, since the changes are read from that revision on.
   /// @param now current time of the monotonic clock.
-  /// @param update a peer's update; its configuration text is ignored.
-  /// @return whether the update was complete or follows a gap.
+  /// @param update a peer's update; its configuration text is ignored, and is
+  ///     applied before by ApplyConfiguration.
+  /// @return whether the state is confirmed, or what is missing.
   update_result ApplyUpdate(time_point now, const fleet_update& update);
 
   /// @param now current time of the monotonic clock.
@@ -143,7 +151,12 @@
   const std::shared_ptr<const fleet_configuration>& Configuration() const {
     return configuration_;
   }
-  /// @return revision up to which the rows are complete; 0 before any list.
+  /// @return version of the current configuration; 0 before the first one.
+  std::uint64_t ConfigurationVersion() const {
+    return configuration_ == nullptr ? 0 : configuration_->version;
+  }
+  /// @return revision up to which rows and configuration are complete; 0 before
+  ///     any list.
   std::uint64_t Revision() const { return revision_; }
   /// @return start of the latest read that confirmed the rows.
   time_point ConfirmedAt() const { return confirmed_at_; }
@@ -177,6 +190,8 @@
   std::unordered_map<std::uint32_t, time_point> early_absences_;
   std::unordered_map<target_id, fleet_target, identifier_hash> targets_;
   std::shared_ptr<const fleet_configuration> configuration_;
+  /// Highest version that a peer's update has named.
+  std::uint64_t announced_version_ = 0;
   /// Routes of earlier configuration versions that are no longer configured.
   std::vector<endpoint> dropped_routes_;
   std::uint64_t revision_ = 0;
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -203,7 +203,7 @@
                logged_as_reader ? "reads_for_all" : "hears_from_reader",
                {{"members", std::to_string(members.Count())},
                 {"revision", std::to_string(fleet.Revision())},
-                {"version", std::to_string(ConfigurationVersion())}});
+                {"version", std::to_string(fleet.ConfigurationVersion())}});
     }
   }
 
@@ -461,45 +461,39 @@
     }
     // Forwards to the entries that the sender assigned to this relay.
     peers.BroadcastUpdate(now, *update, message.members);
-    gap_detected =
-        fleet.Revision() != 0 && update->base_revision > fleet.Revision();
-    const bool applied =
-        fleet.Revision() != 0 &&
-        fleet.ApplyUpdate(now, *update) == update_result::applied;
-    if (!HasConfigurationVersion(update->configuration_version)) {
-      LogEvent(log_level::info, "configuration_announced",
-               {{"version", std::to_string(update->configuration_version)},
-                {"version_in_force", std::to_string(ConfigurationVersion())},
-                {"revision", std::to_string(fleet.Revision())},
-                {"reader", FormatEndpoint({update->reader, 0})}});
-    }
-    if (!applied || !HasConfigurationVersion(update->configuration_version)) {
-      const std::uint64_t version = update->configuration_version;
+    const bool has_list = fleet.Revision() != 0;
+    const update_result result =
+        has_list ? fleet.ApplyUpdate(now, *update) : update_result::gap;
+    if (result == update_result::lacks_configuration) {
+      LogEvent(
+          log_level::info, "configuration_announced",
+          {{"version", std::to_string(update->configuration_version)},
+           {"version_in_force", std::to_string(fleet.ConfigurationVersion())},
+           {"revision", std::to_string(fleet.Revision())},
+           {"reader", FormatEndpoint({update->reader, 0})}});
+    }
+    if (result == update_result::gap ||
+        result == update_result::lacks_configuration) {
       if (relayed) {
-        fetcher.FetchFromRelay(sender.address, [this, version] {
-          return !HasConfigurationVersion(version) || fleet.Revision() == 0 ||
-                 gap_detected;
-        });
+        fetcher.FetchFromRelay(sender.address,
+                               [this, revision = update->revision,
+                                version = update->configuration_version] {
+                                 return fleet.Revision() < revision ||
+                                        fleet.ConfigurationVersion() < version;
+                               });
       } else {
         fetcher.Fetch(sender.address);
       }
     }
-    if (applied) {
+    // While only the configuration is missing, the reader's read still counts:
+    // the text arrives before this process would have to read itself.
+    if (result == update_result::applied ||
+        result == update_result::lacks_configuration) {
       schedule.OnPeerRead(now, update->reader, update->age);
       Publish(now);
     }
   }
 
-  /// Returns 0 before the first configuration.
-  std::uint64_t ConfigurationVersion() const {
-    return fleet.Configuration() == nullptr ? 0
-                                            : fleet.Configuration()->version;
-  }
-
-  bool HasConfigurationVersion(std::uint64_t version) const {
-    return ConfigurationVersion() >= version;
-  }
-
   void FetchFromNextPeer() {
     std::vector<member_address> candidates;
     for (const endpoint& seed : settings.seeds) {
@@ -515,12 +509,12 @@
 
   void OnFetched(const fleet_update& update) {
     const time_point now = ClockWithSleep();
-    fleet.ApplyUpdate(now, update);
-    ProcessEarlyAbsences(now);
     InstallConfiguration(
         source.ParseConfiguration(update.configuration,
                                   update.configuration_revision),
         "peer");
+    fleet.ApplyUpdate(now, update);
+    ProcessEarlyAbsences(now);
     Publish(now);
   }
 
@@ -555,8 +549,6 @@
   time_point last_tick_at{};
   time_point resumed_at{};
   time_point last_expiry_at{};
-  /// Rows that precede the latest peer update are missing.
-  bool gap_detected = false;
   /// The next read must be a full one, since the source lost the history.
   bool full_read_needed = false;
   /// Whether the running read is a full one.
--- a/Tests/core/fleet_state_test.cc
+++ b/Tests/core/fleet_state_test.cc
@@ -159,6 +159,26 @@
   CHECK(state.Revision() == 12);
 }
 
+// Guards against a position past a missing configuration that comes from a
+// reader of an older build, which takes such positions over.
+TEST_CASE("a reader without an announced configuration confirms nothing") {
+  fleet_state state = MakeState();
+  const endpoint address{10, 80};
+  state.ApplyList(kStart, kStart, 10, {MakeTarget("a", 1, 3)});
+  state.ApplyConfiguration(MakeConfiguration(3, {address}));
+  fleet_update update;
+  update.base_revision = 10;
+  update.revision = 12;
+  update.configuration_version = 7;
+  CHECK(state.ApplyUpdate(kStart + 1s, update) ==
+        update_result::lacks_configuration);
+  update.configuration_version = 3;
+  CHECK(state.ApplyUpdate(kStart + 2s, update) ==
+        update_result::sender_lacks_configuration);
+  CHECK(state.Revision() == 10);
+  CHECK(state.ConfirmedAt() == kStart);
+}
+
 TEST_CASE("heartbeats are not reported as changes") {
   fleet_state state = MakeState();
   state.ApplyList(kStart, kStart, 10, {MakeTarget("a", 1, 3)});
