Log the epoch of the source

The store counts its restorations from a copy in a header of each answer. Without it, a revision in a log cannot be attributed to a history, and 'the reader asks with a revision of a lost history' cannot be separated from a slow or failing store. No logic changes.

--- a/Source/packet/fleet_source.h
+++ b/Source/packet/fleet_source.h
@@ -31,6 +31,9 @@
   std::vector<fleet_target> targets;
   /// Latest configuration in the result; null if it contains none.
   std::shared_ptr<const fleet_configuration> configuration;
+  /// Number of times that the source was restored from an older copy, after
+  /// which revisions are assigned again; 0 if unknown.
+  std::uint64_t epoch = 0;
   /// Number of entries that could not be parsed and were skipped.
   std::uint32_t malformed_entries = 0;
 };
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -158,6 +158,18 @@
       LogEvent(log_level::info, "platform_regained",
                {{"revision", std::to_string(read.revision)}});
     }
+    if (read.epoch != source_epoch) {
+      LogEvent(log_level::info, "source_epoch",
+               {{"epoch", std::to_string(read.epoch)},
+                {"revision", std::to_string(read.revision)},
+                {"state_revision", std::to_string(fleet.Revision())},
+                {"full", full_read ? "yes" : "no"},
+                {"configuration",
+                 read.configuration == nullptr
+                     ? "none"
+                     : std::to_string(read.configuration->version)}});
+      source_epoch = read.epoch;
+    }
     result_counters.Add(result_code::unreadable_entry, read.malformed_entries);
     const std::uint64_t base = fleet.Revision();
     if (full_read) {
@@ -554,6 +566,8 @@
   /// Whether the running read is a full one.
   bool full_read = false;
   bool source_failing = false;
+  /// Epoch of the latest read.
+  std::uint64_t source_epoch = 0;
   /// Role that was logged last.
   bool logged_as_reader = false;
 };
