Failing test: a restored store reuses the revision of a configuration

Fails on this code: the reader is at revision 4 of epoch 1 and asks for the changes after 4; in epoch 2 version 8 was written at revision 4, so no read returns it.

--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -37,5 +37,25 @@
                   kPropagationLimit));
 }
 
+// Guards against a configuration that is never read: a store restored from an
+// older copy gave it a revision that the reader had already passed.
+TEST_CASE("a configuration of a restored store is read at a reused revision") {
+  test_store store;
+  store.PutConfiguration(3);
+  test_entry first(store, 1);
+  test_entry second(store, 2);
+  REQUIRE(WaitUntil([&] { return second.Version() == 3; }, 3s));
+  const test_store::content copy = store.Copy();
+  store.PutConfiguration(5);
+  store.PutConfiguration(7);
+  REQUIRE(WaitUntil(
+      [&] { return first.Version() == 7 && second.Version() == 7; }, 3s));
+  store.Restore(copy);
+  store.PutConfiguration(7);
+  store.PutConfiguration(8);
+  CHECK(WaitUntil([&] { return first.Version() == 8 && second.Version() == 8; },
+                  kPropagationLimit));
+}
+
 }  // namespace
 }  // namespace corianderplank
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -46,20 +46,35 @@
 
 void test_store::PutConfiguration(std::uint64_t version) {
   const std::lock_guard lock(mutex_);
-  configuration_ = MakeConfiguration(version, ++revision_);
+  content_.configuration = MakeConfiguration(version, ++content_.revision);
+}
+
+test_store::content test_store::Copy() const {
+  const std::lock_guard lock(mutex_);
+  return content_;
+}
+
+void test_store::Restore(const content& copy) {
+  const std::lock_guard lock(mutex_);
+  ++epoch_;
+  content_ = copy;
 }
 
 fleet_read_result test_store::ReadAll() const {
   const std::lock_guard lock(mutex_);
   fleet_read_result result;
   result.status = read_status::complete;
-  result.revision = revision_;
-  result.configuration = configuration_;
+  result.epoch = epoch_;
+  result.revision = content_.revision;
+  result.configuration = content_.configuration;
   return result;
 }
 
 fleet_read_result test_store::ReadChanges(std::uint64_t after) const {
   fleet_read_result result = ReadAll();
+  if (result.revision < after) {
+    result.status = read_status::history_lost;
+  }
   if (result.configuration != nullptr &&
       result.configuration->revision <= after) {
     result.configuration = nullptr;
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -22,15 +22,26 @@
 /// called on any thread.
 class test_store {
  public:
+  struct content {
+    std::uint64_t revision = 1;
+    std::shared_ptr<const fleet_configuration> configuration;
+  };
+
   void PutConfiguration(std::uint64_t version);
 
+  /// @return a copy of the present content.
+  content Copy() const;
+
+  /// Goes on from an earlier copy, in a new epoch.
+  void Restore(const content& copy);
+
   fleet_read_result ReadAll() const;
   fleet_read_result ReadChanges(std::uint64_t after) const;
 
  private:
   mutable std::mutex mutex_;
-  std::uint64_t revision_ = 1;
-  std::shared_ptr<const fleet_configuration> configuration_;
+  std::uint64_t epoch_ = 1;
+  content content_;
 };
 
 /// @return a configuration without routes whose text is its version.
