--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -92,25 +92,26 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndedTarget FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t machine_;
-  int32_t padding0__;
+  uint32_t epoch_;
   uint64_t revision_;
 
  public:
   EndedTarget()
       : machine_(0),
-        padding0__(0),
+        epoch_(0),
         revision_(0) {
-    (void)padding0__;
   }
-  EndedTarget(uint32_t _machine, uint64_t _revision)
+  EndedTarget(uint32_t _machine, uint32_t _epoch, uint64_t _revision)
       : machine_(flatbuffers::EndianScalar(_machine)),
-        padding0__(0),
+        epoch_(flatbuffers::EndianScalar(_epoch)),
         revision_(flatbuffers::EndianScalar(_revision)) {
-    (void)padding0__;
   }
   uint32_t machine() const {
     return flatbuffers::EndianScalar(machine_);
   }
+  uint32_t epoch() const {
+    return flatbuffers::EndianScalar(epoch_);
+  }
   uint64_t revision() const {
     return flatbuffers::EndianScalar(revision_);
   }
@@ -596,7 +597,9 @@
     VT_COLD_MS = 20,
     VT_GONE = 22,
     VT_GONE_MS = 24,
-    VT_DOUBTFUL_MS = 26
+    VT_DOUBTFUL_MS = 26,
+    VT_EPOCH = 28,
+    VT_REPORT_NUMBER = 30
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -634,6 +637,12 @@
   uint32_t doubtful_ms() const {
     return GetField<uint32_t>(VT_DOUBTFUL_MS, 0);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t report_number() const {
+    return GetField<uint64_t>(VT_REPORT_NUMBER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -648,6 +657,8 @@
            VerifyField<uint8_t>(verifier, VT_GONE, 1) &&
            VerifyField<uint32_t>(verifier, VT_GONE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_DOUBTFUL_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REPORT_NUMBER, 8) &&
            verifier.EndTable();
   }
 };
@@ -692,6 +703,12 @@
   void add_doubtful_ms(uint32_t doubtful_ms) {
     fbb_.AddElement<uint32_t>(Target::VT_DOUBTFUL_MS, doubtful_ms, 0);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(Target::VT_EPOCH, epoch, 0);
+  }
+  void add_report_number(uint64_t report_number) {
+    fbb_.AddElement<uint64_t>(Target::VT_REPORT_NUMBER, report_number, 0);
+  }
   explicit TargetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -716,8 +733,12 @@
     uint32_t cold_ms = 0,
     bool gone = false,
     uint32_t gone_ms = 0,
-    uint32_t doubtful_ms = 0) {
+    uint32_t doubtful_ms = 0,
+    uint64_t epoch = 0,
+    uint64_t report_number = 0) {
   TargetBuilder builder_(_fbb);
+  builder_.add_report_number(report_number);
+  builder_.add_epoch(epoch);
   builder_.add_born_ms(born_ms);
   builder_.add_revision(revision);
   builder_.add_zone(zone);
@@ -746,7 +767,11 @@
     VT_CONFIGURATION = 18,
     VT_TARGETS = 20,
     VT_READER = 22,
-    VT_ENDED = 24
+    VT_ENDED = 24,
+    VT_BASE_EPOCH = 26,
+    VT_EPOCH = 28,
+    VT_CONFIGURATION_EPOCH = 30,
+    VT_UNSETTLED = 32
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -781,6 +806,18 @@
   const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *ended() const {
     return GetPointer<const flatbuffers::Vector<const corianderplank::schema::EndedTarget *> *>(VT_ENDED);
   }
+  uint64_t base_epoch() const {
+    return GetField<uint64_t>(VT_BASE_EPOCH, 0);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t configuration_epoch() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_EPOCH, 0);
+  }
+  bool unsettled() const {
+    return GetField<uint8_t>(VT_UNSETTLED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -798,6 +835,10 @@
            VerifyField<uint32_t>(verifier, VT_READER, 4) &&
            VerifyOffset(verifier, VT_ENDED) &&
            verifier.VerifyVector(ended()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_EPOCH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_UNSETTLED, 1) &&
            verifier.EndTable();
   }
 };
@@ -839,6 +880,18 @@
   void add_ended(flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended) {
     fbb_.AddOffset(Belief::VT_ENDED, ended);
   }
+  void add_base_epoch(uint64_t base_epoch) {
+    fbb_.AddElement<uint64_t>(Belief::VT_BASE_EPOCH, base_epoch, 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(Belief::VT_EPOCH, epoch, 0);
+  }
+  void add_configuration_epoch(uint64_t configuration_epoch) {
+    fbb_.AddElement<uint64_t>(Belief::VT_CONFIGURATION_EPOCH, configuration_epoch, 0);
+  }
+  void add_unsettled(bool unsettled) {
+    fbb_.AddElement<uint8_t>(Belief::VT_UNSETTLED, static_cast<uint8_t>(unsettled), 0);
+  }
   explicit BeliefBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -862,8 +915,15 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<corianderplank::schema::Target>>> targets = 0,
     uint32_t reader = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::EndedTarget *>> ended = 0,
+    uint64_t base_epoch = 0,
+    uint64_t epoch = 0,
+    uint64_t configuration_epoch = 0,
+    bool unsettled = false) {
   BeliefBuilder builder_(_fbb);
+  builder_.add_configuration_epoch(configuration_epoch);
+  builder_.add_epoch(epoch);
+  builder_.add_base_epoch(base_epoch);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_configuration_version(configuration_version);
   builder_.add_revision(revision);
@@ -874,6 +934,7 @@
   builder_.add_configuration(configuration);
   builder_.add_holders_known_ms(holders_known_ms);
   builder_.add_age_ms(age_ms);
+  builder_.add_unsettled(unsettled);
   builder_.add_version(version);
   return builder_.Finish();
 }
@@ -890,7 +951,11 @@
     const std::vector<uint8_t> *configuration = nullptr,
     const std::vector<flatbuffers::Offset<corianderplank::schema::Target>> *targets = nullptr,
     uint32_t reader = 0,
-    const std::vector<corianderplank::schema::EndedTarget> *ended = nullptr) {
+    const std::vector<corianderplank::schema::EndedTarget> *ended = nullptr,
+    uint64_t base_epoch = 0,
+    uint64_t epoch = 0,
+    uint64_t configuration_epoch = 0,
+    bool unsettled = false) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<corianderplank::schema::Target>>(*targets) : 0;
   auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
@@ -906,7 +971,11 @@
       configuration__,
       targets__,
       reader,
-      ended__);
+      ended__,
+      base_epoch,
+      epoch,
+      configuration_epoch,
+      unsettled);
 }
 
 }  // namespace schema
--- a/Source/core/ended_targets.cc
+++ b/Source/core/ended_targets.cc
@@ -1,6 +1,11 @@
 #include "core/ended_targets.h"
 
 namespace corianderplank {
+namespace {
+
+constexpr int kMachineBits = 32;
+
+}  // namespace
 
 bool ended_targets::Record(time_point now, const ended_target& record) {
   const auto [found, added] = ends_.try_emplace(record.machine);
@@ -12,7 +17,7 @@
 }
 
 bool ended_targets::HasTargetEnded(std::uint32_t machine,
-                                   std::uint64_t revision) const {
+                                   const source_revision& revision) const {
   const auto found = ends_.find(machine);
   return found != ends_.end() && revision <= found->second.revision;
 }
@@ -35,7 +40,8 @@
 std::uint32_t ended_targets::Digest() const {
   std::uint64_t sum = 0;
   for (const auto& [machine, end] : ends_) {
-    sum += MixHash(machine, end.revision);
+    sum += MixHash(machine ^ (end.revision.epoch << kMachineBits),
+                   end.revision.number);
   }
   return static_cast<std::uint32_t>(sum);
 }
--- a/Source/core/ended_targets.h
+++ b/Source/core/ended_targets.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/identifiers.h"
+#include "core/source_revision.h"
 
 namespace corianderplank {
 
@@ -17,7 +18,7 @@
 /// row with a later revision is another target.
 struct ended_target {
   std::uint32_t machine = 0;
-  std::uint64_t revision = 0;
+  source_revision revision;
 };
 
 /// Table of ended targets by machine. The revision of a machine never
@@ -37,7 +38,8 @@
   /// @param machine address of the machine.
   /// @param revision revision of a target listed on it.
   /// @return whether that target has ended.
-  bool HasTargetEnded(std::uint32_t machine, std::uint64_t revision) const;
+  bool HasTargetEnded(std::uint32_t machine,
+                      const source_revision& revision) const;
 
   /// Removes records older than the lifetime.
   /// @param now current time of the monotonic clock.
@@ -51,7 +53,7 @@
 
  private:
   struct known_end {
-    std::uint64_t revision = 0;
+    source_revision revision;
     time_point recorded_at{};
   };
 
--- a/Source/core/fleet.h
+++ b/Source/core/fleet.h
@@ -11,6 +11,7 @@
 
 #include "core/identifiers.h"
 #include "core/request_scheduler.h"
+#include "core/source_revision.h"
 
 namespace corianderplank {
 
@@ -29,10 +30,12 @@
   std::uint64_t failure_domain = 0;  ///< HashName of its failure domain.
   std::uint32_t slots = 1;
   target_state state = target_state::ready;
-  /// Store revision of the last change other than a heartbeat.
-  std::uint64_t revision = 0;
+  /// Revision of the last change other than a heartbeat.
+  source_revision revision;
   /// Unix time of its start in milliseconds; 0 if unknown.
   std::int64_t target_start_ms = 0;
+  /// Number of the target's own report, counted from its start; 0 if unknown.
+  std::uint64_t report_number = 0;
   /// Time of the monotonic clock at which this process first saw it.
   time_point first_seen_at{};
   /// End of the slow phase after its start.
@@ -51,6 +54,19 @@
   bool AcceptsNewFlows(time_point now) const {
     return state == target_state::ready && (!removed || now < may_return_until);
   }
+
+  /// Compares what the target has published, regardless of revisions.
+  /// @param other another row of the same target.
+  /// @return whether the target published this row before the other one; false
+  ///     if either does not say.
+  bool IsOlderReportThan(const fleet_target& other) const {
+    if (report_number == 0 || other.report_number == 0) {
+      return false;
+    }
+    return target_start_ms != other.target_start_ms
+               ? target_start_ms < other.target_start_ms
+               : report_number < other.report_number;
+  }
 };
 
 /// Weighted share of a route's new flows for one service.
@@ -75,8 +91,8 @@
 /// One version of the configuration. Immutable once it is part of the state.
 struct fleet_configuration {
   std::uint64_t version = 0;
-  /// Store revision of the configuration.
-  std::uint64_t revision = 0;
+  /// Revision at which the source stores it.
+  source_revision revision;
   std::unordered_map<endpoint, fleet_route, endpoint_hash> routes;
   /// Every service that the version names.
   std::vector<service_id> services;
--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -69,7 +69,7 @@
 
 void fleet_state::Confirm(time_point now,
                           time_point began,
-                          std::uint64_t revision) {
+                          const source_revision& revision) {
   if (confirmed_at_ == time_point{}) {
     complete_since_ = first_start_ ? time_point{} : now;
   } else if (began - confirmed_at_ > kUnobservedAfter) {
@@ -79,7 +79,9 @@
   confirmed_at_ = std::max(confirmed_at_, began);
 }
 
-void fleet_state::ApplyRow(time_point now, const fleet_target& row) {
+void fleet_state::ApplyRow(time_point now,
+                           const fleet_target& row,
+                           row_order order) {
   const auto found = targets_.find(row.id);
   if (found == targets_.end()) {
     // A removed row without an address cannot hold a flow known here.
@@ -93,6 +95,11 @@
   if (row.revision <= item.revision) {
     return;
   }
+  if (order == row_order::by_report &&
+      row.revision.epoch > item.revision.epoch && row.IsOlderReportThan(item)) {
+    has_ignored_rows_ = true;
+    return;
+  }
   if (row.removed) {
     MarkRemoved(now, item, row.revision);
     item.may_return_until =
@@ -101,6 +108,7 @@
   }
   if (SameContent(item, row)) {
     // A heartbeat; the revision of the last real change is kept.
+    item.report_number = row.report_number;
     return;
   }
   const time_point first_seen_at =
@@ -112,7 +120,7 @@
 
 void fleet_state::MarkRemoved(time_point now,
                               fleet_target& item,
-                              std::uint64_t revision) {
+                              const source_revision& revision) {
   if (item.removed) {
     return;
   }
@@ -125,17 +133,56 @@
 
 void fleet_state::ApplyList(time_point now,
                             time_point began,
-                            std::uint64_t revision,
+                            const source_revision& revision,
                             const std::vector<fleet_target>& rows) {
   if (revision < revision_) {
     return;
   }
   DetectSourceOutage(now, began);
-  ApplyRows(now, rows);
+  DetectRestoration(now, revision);
+  if (began >= settles_at_) {
+    has_ignored_rows_ = false;
+    ApplyRows(now, rows, row_order::by_revision);
+  } else {
+    ApplyRows(now, rows, row_order::by_report);
+  }
   MarkMissingRemoved(now, revision, rows);
   Confirm(now, began, revision);
 }
 
+read_relation fleet_state::Relate(const source_revision& base,
+                                  const source_revision& revision) const {
+  const bool is_list = base == source_revision();
+  if (revision.epoch < revision_.epoch || (is_list && revision < revision_)) {
+    return read_relation::outdated;
+  }
+  if (base.epoch == revision.epoch && revision < base) {
+    return read_relation::outdated;
+  }
+  if (is_list || base.epoch == revision.epoch) {
+    return read_relation::current;
+  }
+  return revision.epoch > revision_.epoch ? read_relation::other_history
+                                          : read_relation::outdated;
+}
+
+bool fleet_state::NeedsList(time_point now) const {
+  return has_ignored_rows_ && now >= settles_at_;
+}
+
+void fleet_state::DetectRestoration(time_point now,
+                                    const source_revision& revision) {
+  if (revision.epoch <= revision_.epoch) {
+    return;
+  }
+  // This includes the first list: a process that has just started cannot tell
+  // how long ago the source was restored.
+  settles_at_ = now + limits_.source_recovery_grace;
+  if (revision_ != source_revision()) {
+    recovery_until_ = settles_at_;
+  }
+}
+
 void fleet_state::DetectSourceOutage(time_point now, time_point began) {
   if (confirmed_at_ != time_point{} &&
       began - confirmed_at_ > kSourceOutageAfter) {
@@ -144,14 +191,15 @@
 }
 
 void fleet_state::ApplyRows(time_point now,
-                            const std::vector<fleet_target>& rows) {
+                            const std::vector<fleet_target>& rows,
+                            row_order order) {
   for (const fleet_target& row : rows) {
-    ApplyRow(now, row);
+    ApplyRow(now, row, order);
   }
 }
 
 void fleet_state::MarkMissingRemoved(time_point now,
-                                     std::uint64_t revision,
+                                     const source_revision& revision,
                                      const std::vector<fleet_target>& rows) {
   std::unordered_set<target_id, identifier_hash> listed;
   for (const fleet_target& row : rows) {
@@ -166,10 +214,10 @@
 
 void fleet_state::ApplyChanges(time_point now,
                                time_point began,
-                               std::uint64_t revision,
+                               const source_revision& revision,
                                const std::vector<fleet_target>& rows) {
   DetectSourceOutage(now, began);
-  ApplyRows(now, rows);
+  ApplyRows(now, rows, row_order::by_revision);
   Confirm(now, began, revision);
 }
 
@@ -199,8 +247,23 @@
 
 update_result fleet_state::ApplyUpdate(time_point now,
                                        const fleet_update& update) {
+  if (update.revision.epoch < revision_.epoch) {
+    return update_result::outdated;
+  }
   DetectSourceOutage(now, now - update.age);
-  ApplyRows(now, update.targets);
+  const bool is_complete = update.base_revision == source_revision();
+  if (is_complete) {
+    DetectRestoration(now, update.revision);
+    if (update.settled) {
+      has_ignored_rows_ = false;
+      settles_at_ = std::min(settles_at_, now);
+    }
+  } else if (update.base_revision.epoch != revision_.epoch || NeedsList(now)) {
+    return update_result::gap;
+  }
+  ApplyRows(now, update.targets,
+            is_complete && !update.settled ? row_order::by_report
+                                           : row_order::by_revision);
   announced_version_ =
       std::max(announced_version_, update.configuration_version);
   if (update.base_revision > revision_) {
@@ -212,12 +275,12 @@
                : update_result::sender_lacks_configuration;
   }
   const bool first = confirmed_at_ == time_point{};
-  if (update.base_revision == 0) {
+  if (is_complete) {
     // The sender has no rows for targets that were removed before it started.
     MarkMissingRemoved(now, update.revision, update.targets);
   }
   Confirm(now, now - update.age, update.revision);
-  if (update.base_revision == 0) {
+  if (is_complete) {
     RecordEndedTargets(now, update.ended);
     const time_point since = now - update.holders_known_for;
     complete_since_ = first ? since : std::min(complete_since_, since);
@@ -235,8 +298,9 @@
 }
 
 fleet_update fleet_state::UpdateSince(time_point now,
-                                      std::uint64_t revision) const {
+                                      const source_revision& revision) const {
   fleet_update update;
+  update.settled = !has_ignored_rows_ && now >= settles_at_;
   update.base_revision = revision;
   update.revision = revision_;
   update.age = std::chrono::duration_cast<milliseconds>(now - confirmed_at_);
@@ -245,7 +309,7 @@
     update.configuration_version = configuration_->version;
     update.configuration_revision = configuration_->revision;
   }
-  if (revision == 0) {
+  if (revision == source_revision()) {
     update.ended = ended_.All();
   }
   for (const auto& [id, item] : targets_) {
@@ -294,7 +358,7 @@
 std::optional<ended_target> fleet_state::RecordTargetAbsence(
     time_point now,
     std::uint32_t machine) {
-  if (revision_ == 0) {
+  if (revision_ == source_revision()) {
     early_absences_[machine] = now;
     return std::nullopt;
   }
@@ -311,7 +375,7 @@
 
 std::vector<ended_target> fleet_state::ApplyEarlyAbsences(time_point now) {
   std::vector<ended_target> records;
-  if (revision_ == 0) {
+  if (revision_ == source_revision()) {
     return records;
   }
   for (const auto& [machine, received_at] :
--- a/Source/core/fleet_state.h
+++ b/Source/core/fleet_state.h
@@ -21,7 +21,8 @@
   /// holders for the same time.
   std::chrono::milliseconds longest_flow{60000};
   /// Time after the recovery of a failed source within which missing targets
-  /// may be listed again.
+  /// may be listed again, and after its restoration from a copy within which
+  /// rows may be older than known ones.
   std::chrono::milliseconds source_recovery_grace{2000};
 };
 
@@ -43,11 +44,23 @@
   /// Rows were applied; a configuration is missing that the sender does not
   /// have either.
   sender_lacks_configuration,
+  /// Nothing was applied: the sender reads a history that the source has lost.
+  outdated,
+};
+
+/// How the result of a read relates to the fleet state.
+enum class read_relation : std::uint8_t {
+  current,        ///< It can be applied.
+  outdated,       ///< It precedes the state and must be dropped.
+  other_history,  ///< The source was restored; a complete list is required.
 };
 
 /// Table of targets and the newest configuration. Rows with an older revision
-/// and configurations with an older version never replace newer ones. Used by
-/// the control thread only.
+/// and configurations with an older version never replace newer ones. After the
+/// source was restored from a copy, rows that their targets published before
+/// the known ones are ignored until the targets had time to write again; if
+/// there were any, a complete list after that time decides. Used by the control
+/// thread only.
 class fleet_state {
  public:
   /// @param limits time limits for flows and source recovery.
@@ -58,6 +71,17 @@
         first_start_(first_start),
         ended_(limits.longest_flow) {}
 
+  /// @param base revision from which a read started; 0 for a complete list.
+  /// @param revision revision of the read's result.
+  /// @return how the result relates to the state.
+  read_relation Relate(const source_revision& base,
+                       const source_revision& revision) const;
+
+  /// @param now current time of the monotonic clock.
+  /// @return whether a complete list is required, since rows of a restored
+  ///     source were ignored and their targets had time to write again.
+  bool NeedsList(time_point now) const;
+
   /// Applies a complete list; known targets that are not in it are marked as
   /// removed.
   /// @param now current time of the monotonic clock.
@@ -67,7 +91,7 @@
   /// @param rows all listed targets.
   void ApplyList(time_point now,
                  time_point began,
-                 std::uint64_t revision,
+                 const source_revision& revision,
                  const std::vector<fleet_target>& rows);
 
   /// Applies the changes since Revision().
@@ -77,7 +101,7 @@
   /// @param rows changed targets; `removed` marks those removed from the list.
   void ApplyChanges(time_point now,
                     time_point began,
-                    std::uint64_t revision,
+                    const source_revision& revision,
                     const std::vector<fleet_target>& rows);
 
   /// @param configuration a configuration; null is ignored.
@@ -96,7 +120,8 @@
   /// @param now current time of the monotonic clock.
   /// @param revision revision that the peer has; 0 requests the complete state.
   /// @return the later changes, without the configuration text.
-  fleet_update UpdateSince(time_point now, std::uint64_t revision) const;
+  fleet_update UpdateSince(time_point now,
+                           const source_revision& revision) const;
 
   /// Records an agent whose target may be missing from the list. The target
   /// remains a possible flow holder and gets no new flows.
@@ -157,7 +182,7 @@
   }
   /// @return revision up to which rows and configuration are complete; 0 before
   ///     any list.
-  std::uint64_t Revision() const { return revision_; }
+  const source_revision& Revision() const { return revision_; }
   /// @return start of the latest read that confirmed the rows.
   time_point ConfirmedAt() const { return confirmed_at_; }
   /// @return the targets that have changed since the last call.
@@ -169,16 +194,32 @@
   }
 
  private:
-  void Confirm(time_point now, time_point began, std::uint64_t revision);
+  /// Which of two rows of a target counts.
+  enum class row_order : std::uint8_t {
+    by_revision,
+    /// A row of a later epoch counts only if its target did not publish it
+    /// before the known one.
+    by_report,
+  };
+
+  void Confirm(time_point now,
+               time_point began,
+               const source_revision& revision);
+  /// Starts the period in which rows of a restored source may be older.
+  void DetectRestoration(time_point now, const source_revision& revision);
   /// Starts the recovery grace period if the source was not read for a while.
   void DetectSourceOutage(time_point now, time_point began);
-  void ApplyRow(time_point now, const fleet_target& row);
-  void ApplyRows(time_point now, const std::vector<fleet_target>& rows);
+  void ApplyRow(time_point now, const fleet_target& row, row_order order);
+  void ApplyRows(time_point now,
+                 const std::vector<fleet_target>& rows,
+                 row_order order);
   /// Marks targets as removed that a complete list does not contain.
   void MarkMissingRemoved(time_point now,
-                          std::uint64_t revision,
+                          const source_revision& revision,
                           const std::vector<fleet_target>& rows);
-  void MarkRemoved(time_point now, fleet_target& item, std::uint64_t revision);
+  void MarkRemoved(time_point now,
+                   fleet_target& item,
+                   const source_revision& revision);
   std::chrono::milliseconds HoldersKnownFor(time_point now) const;
   /// @return whether a target on the machine may hold flows.
   bool HasHolder(std::uint32_t machine) const;
@@ -194,13 +235,17 @@
   std::uint64_t announced_version_ = 0;
   /// Routes of earlier configuration versions that are no longer configured.
   std::vector<endpoint> dropped_routes_;
-  std::uint64_t revision_ = 0;
+  source_revision revision_;
   std::vector<target_id> changed_;
   time_point confirmed_at_{};
   /// Time since which no target was added or removed unnoticed.
   time_point complete_since_{};
   /// End of the recovery grace period.
   time_point recovery_until_{};
+  /// End of the period in which targets write again to a restored source.
+  time_point settles_at_{};
+  /// Whether rows of a restored source were ignored since they were older.
+  bool has_ignored_rows_ = false;
   time_point agents_known_at_{};
 };
 
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -126,12 +126,15 @@
 struct fleet_update {
   /// Address of the entry that read it.
   std::uint32_t reader = 0;
-  std::uint64_t base_revision = 0;
-  std::uint64_t revision = 0;
+  source_revision base_revision;
+  source_revision revision;
+  /// Whether the targets have had time to write again since the source was
+  /// restored, so that no row is older than what others may know.
+  bool settled = true;
   /// Time from the start of the read to the sending of the update.
   std::chrono::milliseconds age{0};
   std::uint64_t configuration_version = 0;
-  std::uint64_t configuration_revision = 0;
+  source_revision configuration_revision;
   /// Configuration text; empty if only its version is sent.
   std::string configuration;
   /// Changed targets; `removed` marks those removed from the list.
--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -187,7 +187,7 @@
   struct ended_target_record {
     /// Revision of the ended target; a target of a later revision is another
     /// one at the same address.
-    std::uint64_t revision = 0;
+    source_revision revision;
     /// An agent on the machine has since reported that it may hold a flow.
     bool contradicted = false;
   };
--- a/Source/core/packet_entry_search.cc
+++ b/Source/core/packet_entry_search.cc
@@ -355,7 +355,8 @@
 
 void packet_entry::OnTargetEnded(time_point now, machine_address machine) {
   const fleet_target* target = index_->FindTarget(machine);
-  ended_targets_[machine] = {target == nullptr ? 0 : target->revision, false};
+  ended_targets_[machine] = {
+      target == nullptr ? source_revision() : target->revision, false};
   counters_.Add(result_code::target_ended);
   loads_.OnAgentLeaving(now, machine);
   for (auto& [flow, record] : flows_) {
--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -210,6 +210,11 @@
     {result_code::request_held_while_failing, outcome_kind::placement,
      "request_held_while_failing",
      "A request that must not be repeated waited since its target fails."},
+    {result_code::source_restored, outcome_kind::placement, "source_restored",
+     "The platform was restored from an older copy; revisions were assigned "
+     "again."},
+    {result_code::outdated_read, outcome_kind::placement, "outdated_read",
+     "A read of the platform was dropped since it precedes the known state."},
 };
 
 }  // namespace
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -117,6 +117,8 @@
   request_cut_by_target = 735,
   opening_while_failing = 736,
   request_held_while_failing = 737,
+  source_restored = 738,
+  outdated_read = 739,
 };
 
 /// One row of the table of codes.
--- a/Source/packet/fleet_source.h
+++ b/Source/packet/fleet_source.h
@@ -25,15 +25,12 @@
 struct fleet_read_result {
   read_status status = read_status::unreachable;
   /// Revision up to which `targets` is complete.
-  std::uint64_t revision = 0;
+  source_revision revision;
   /// All targets, or the changed ones; of the latter, those with `gone` have
   /// been removed.
   std::vector<fleet_target> targets;
   /// Latest configuration in the result; null if it contains none.
   std::shared_ptr<const fleet_configuration> configuration;
-  /// Number of times that the source was restored from an older copy, after
-  /// which revisions are assigned again; 0 if unknown.
-  std::uint64_t epoch = 0;
   /// Number of entries that could not be parsed and were skipped.
   std::uint32_t malformed_entries = 0;
 };
@@ -50,11 +47,13 @@
   /// @param callback called with the result, also when the read fails.
   virtual void ReadAll(read_callback callback) = 0;
 
-  /// Reads what has changed since a revision.
+  /// Reads what has changed since a revision. If the source was restored since,
+  /// the result may skip changes: its epoch differs from that of `after`.
   /// @param after revision of an earlier result; changes with a higher
-  ///     revision are read.
+  ///     number are read.
   /// @param callback called with the result, also when the read fails.
-  virtual void ReadChanges(std::uint64_t after, read_callback callback) = 0;
+  virtual void ReadChanges(const source_revision& after,
+                           read_callback callback) = 0;
 
   /// Parses the text of a configuration that a peer has sent.
   /// @param text the text as the source published it.
@@ -62,7 +61,7 @@
   /// @return the configuration, or null if the text is malformed.
   virtual std::shared_ptr<const fleet_configuration> ParseConfiguration(
       const std::string& text,
-      std::uint64_t revision) const = 0;
+      const source_revision& revision) const = 0;
 };
 
 }  // namespace corianderplank
--- a/Source/packet/fleet_state_log.cc
+++ b/Source/packet/fleet_state_log.cc
@@ -22,13 +22,19 @@
 
 }  // namespace
 
+std::string FormatRevision(const source_revision& revision) {
+  const std::string number = std::to_string(revision.number);
+  return revision.epoch == 0 ? number
+                             : std::to_string(revision.epoch) + ":" + number;
+}
+
 void LogTargetChanges(time_point now, fleet_state& fleet) {
   const std::vector<fleet_target> changes = fleet.CollectChanges();
   const std::string age = std::to_string((now - fleet.ConfirmedAt()) / 1ms);
   if (changes.size() > kMaxLoggedChanges) {
     LogEvent(log_level::info, "targets_changed",
              {{"targets", std::to_string(changes.size())},
-              {"revision", std::to_string(fleet.Revision())},
+              {"revision", FormatRevision(fleet.Revision())},
               {"picture_age_ms", age}});
     return;
   }
@@ -36,7 +42,7 @@
     LogEvent(log_level::info, "target_changed",
              {{"target", FormatEndpoint(target.address)},
               {"state", StateName(target)},
-              {"revision", std::to_string(target.revision)},
+              {"revision", FormatRevision(target.revision)},
               {"picture_age_ms", age}});
   }
 }
@@ -45,7 +51,7 @@
                       const std::string& origin) {
   LogEvent(log_level::info, "configuration_in_force",
            {{"version", std::to_string(configuration.version)},
-            {"revision", std::to_string(configuration.revision)},
+            {"revision", FormatRevision(configuration.revision)},
             {"source", origin}});
 }
 
@@ -54,7 +60,7 @@
   for (const ended_target& target : ended) {
     LogEvent(log_level::info, "target_ended",
              {{"machine", FormatEndpoint({target.machine, 0})},
-              {"revision", std::to_string(target.revision)},
+              {"revision", FormatRevision(target.revision)},
               {"source", origin}});
   }
 }
--- a/Source/packet/fleet_state_log.h
+++ b/Source/packet/fleet_state_log.h
@@ -9,6 +9,10 @@
 
 namespace corianderplank {
 
+/// @param revision a revision of the source.
+/// @return its number, preceded by the epoch unless that is 0: "2:15".
+std::string FormatRevision(const source_revision& revision);
+
 /// Logs the target changes since the last call. Writes a single line when there
 /// are many, such as for the first list, since the first flows wait for it.
 /// @param now current time of the monotonic clock.
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -127,24 +127,29 @@
 
   void Read(time_point started_at) {
     schedule.OnReadBegin(started_at);
-    const auto on_read = [this, started_at](const fleet_read_result& read) {
-      OnRead(started_at, read);
+    const bool is_full = fleet.Revision() == source_revision() ||
+                         full_read_needed || fleet.NeedsList(started_at);
+    const source_revision base = is_full ? source_revision() : fleet.Revision();
+    const auto on_read = [this, started_at,
+                          base](const fleet_read_result& read) {
+      OnRead(started_at, base, read);
     };
-    const bool is_full = fleet.Revision() == 0 || full_read_needed;
-    full_read = is_full;
     if (is_full) {
       source.ReadAll(on_read);
     } else {
-      source.ReadChanges(fleet.Revision(), on_read);
+      source.ReadChanges(base, on_read);
     }
   }
 
-  void OnRead(time_point started_at, const fleet_read_result& read) {
+  // `base` is the revision from which the read started; 0 for a full one.
+  void OnRead(time_point started_at,
+              const source_revision& base,
+              const fleet_read_result& read) {
     const time_point now = ClockWithSleep();
     if (read.status == read_status::history_lost) {
       result_counters.Add(result_code::history_lost);
       LogEvent(log_level::warning, "history_lost",
-               {{"revision", std::to_string(fleet.Revision())}});
+               {{"revision", FormatRevision(fleet.Revision())}});
       full_read_needed = true;
       Read(now);
       return;
@@ -153,36 +158,54 @@
       OnReadFailed(now, read.status);
       return;
     }
+    switch (fleet.Relate(base, read.revision)) {
+      case read_relation::current:
+        break;
+      case read_relation::other_history:
+        full_read_needed = true;
+        Read(now);
+        return;
+      case read_relation::outdated:
+        result_counters.Add(result_code::outdated_read);
+        LogEvent(log_level::warning, "outdated_read",
+                 {{"revision", FormatRevision(read.revision)},
+                  {"state_revision", FormatRevision(fleet.Revision())}});
+        OnReadFailed(now, read_status::refused);
+        return;
+    }
     if (source_failing) {
       source_failing = false;
       LogEvent(log_level::info, "platform_regained",
-               {{"revision", std::to_string(read.revision)}});
-    }
-    if (read.epoch != source_epoch) {
-      LogEvent(log_level::info, "source_epoch",
-               {{"epoch", std::to_string(read.epoch)},
-                {"revision", std::to_string(read.revision)},
-                {"state_revision", std::to_string(fleet.Revision())},
-                {"full", full_read ? "yes" : "no"},
-                {"configuration",
-                 read.configuration == nullptr
-                     ? "none"
-                     : std::to_string(read.configuration->version)}});
-      source_epoch = read.epoch;
+               {{"revision", FormatRevision(read.revision)}});
     }
     result_counters.Add(result_code::unreadable_entry, read.malformed_entries);
-    const std::uint64_t base = fleet.Revision();
-    if (full_read) {
+    const source_revision previous = fleet.Revision();
+    // Changes since a lost history, or in rows that were ignored for being
+    // older, have no base: the others need the complete state.
+    const bool needs_complete_update =
+        read.revision.epoch > previous.epoch || fleet.NeedsList(started_at);
+    if (base == source_revision()) {
       full_read_needed = false;
       fleet.ApplyList(now, started_at, read.revision, read.targets);
     } else {
       fleet.ApplyChanges(now, started_at, read.revision, read.targets);
     }
+    LogRestoration(previous);
     InstallConfiguration(read.configuration, "platform");
     schedule.OnReadEnd(now, true);
     ProcessEarlyAbsences(now);
     Publish(now);
-    Broadcast(now, base);
+    Broadcast(now, needs_complete_update ? source_revision() : previous);
+  }
+
+  void LogRestoration(const source_revision& previous) {
+    const source_revision& current = fleet.Revision();
+    if (previous != source_revision() && current.epoch > previous.epoch) {
+      result_counters.Add(result_code::source_restored);
+      LogEvent(log_level::warning, "source_restored",
+               {{"revision", FormatRevision(current)},
+                {"state_revision", FormatRevision(previous)}});
+    }
   }
 
   void OnReadFailed(time_point now, read_status status) {
@@ -194,7 +217,7 @@
                  status == read_status::refused ? "refused" : "unreachable"}});
     }
     schedule.OnReadEnd(now, false);
-    if (fleet.Revision() == 0) {
+    if (fleet.Revision() == source_revision()) {
       FetchFromNextPeer();
     }
   }
@@ -214,7 +237,7 @@
       LogEvent(log_level::info,
                logged_as_reader ? "reads_for_all" : "hears_from_reader",
                {{"members", std::to_string(members.Count())},
-                {"revision", std::to_string(fleet.Revision())},
+                {"revision", FormatRevision(fleet.Revision())},
                 {"version", std::to_string(fleet.ConfigurationVersion())}});
     }
   }
@@ -231,17 +254,19 @@
   }
 
   bool IsReady() const {
-    return fleet.Configuration() != nullptr && fleet.Revision() != 0;
+    return fleet.Configuration() != nullptr &&
+           fleet.Revision() != source_revision();
   }
 
   // Sends the changes of this entry's read to all other entries.
-  void Broadcast(time_point now, std::uint64_t base) {
+  void Broadcast(time_point now, const source_revision& base) {
     fleet_update update = fleet.UpdateSince(now, base);
     update.reader = settings.address;
     const std::vector<member_address> receivers = members.All();
     if (update.targets.size() >
-        (base == 0 ? kMaxRowsPerDatagram
-                   : kMaxRowsPerDatagram * kMaxDatagramsPerRead)) {
+        (base == source_revision()
+             ? kMaxRowsPerDatagram
+             : kMaxRowsPerDatagram * kMaxDatagramsPerRead)) {
       // Receivers that lack rows fetch them. A full list must not be split,
       // since targets that are missing from it count as removed.
       update.targets.clear();
@@ -473,15 +498,17 @@
     }
     // Forwards to the entries that the sender assigned to this relay.
     peers.BroadcastUpdate(now, *update, message.members);
-    const bool has_list = fleet.Revision() != 0;
+    const source_revision previous = fleet.Revision();
+    const bool has_list = previous != source_revision();
     const update_result result =
         has_list ? fleet.ApplyUpdate(now, *update) : update_result::gap;
+    LogRestoration(previous);
     if (result == update_result::lacks_configuration) {
       LogEvent(
           log_level::info, "configuration_announced",
           {{"version", std::to_string(update->configuration_version)},
            {"version_in_force", std::to_string(fleet.ConfigurationVersion())},
-           {"revision", std::to_string(fleet.Revision())},
+           {"revision", FormatRevision(fleet.Revision())},
            {"reader", FormatEndpoint({update->reader, 0})}});
     }
     if (result == update_result::gap ||
@@ -521,11 +548,13 @@
 
   void OnFetched(const fleet_update& update) {
     const time_point now = ClockWithSleep();
+    const source_revision previous = fleet.Revision();
     InstallConfiguration(
         source.ParseConfiguration(update.configuration,
                                   update.configuration_revision),
         "peer");
     fleet.ApplyUpdate(now, update);
+    LogRestoration(previous);
     ProcessEarlyAbsences(now);
     Publish(now);
   }
@@ -537,7 +566,7 @@
     } else if (!IsReady()) {
       response.status = 503;
     } else {
-      fleet_update update = fleet.UpdateSince(ClockWithSleep(), 0);
+      fleet_update update = fleet.UpdateSince(ClockWithSleep(), {});
       update.configuration = fleet.Configuration()->source;
       response.content_type = "application/octet-stream";
       response.body = EncodeFleetUpdate(update, ClockWithSleep());
@@ -563,11 +592,7 @@
   time_point last_expiry_at{};
   /// The next read must be a full one, since the source lost the history.
   bool full_read_needed = false;
-  /// Whether the running read is a full one.
-  bool full_read = false;
   bool source_failing = false;
-  /// Epoch of the latest read.
-  std::uint64_t source_epoch = 0;
   /// Role that was logged last.
   bool logged_as_reader = false;
 };
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -91,7 +91,9 @@
   table.add_zone(item.failure_domain);
   table.add_slots(item.slots);
   table.add_draining(item.state == target_state::draining);
-  table.add_revision(item.revision);
+  table.add_revision(item.revision.number);
+  table.add_epoch(item.revision.epoch);
+  table.add_report_number(item.report_number);
   table.add_born_ms(item.target_start_ms);
   table.add_cold_ms(ToMilliseconds(item.warm_up_until - now));
   table.add_gone(item.removed);
@@ -108,7 +110,8 @@
   item.failure_domain = table.zone();
   item.slots = std::max(1U, table.slots());
   item.state = table.draining() ? target_state::draining : target_state::ready;
-  item.revision = table.revision();
+  item.revision = {table.revision(), table.epoch()};
+  item.report_number = table.report_number();
   item.target_start_ms = table.born_ms();
   item.warm_up_until = now + milliseconds(table.cold_ms());
   item.removed = table.gone();
@@ -122,7 +125,9 @@
   std::vector<schema::EndedTarget> rows;
   rows.reserve(ended.size());
   for (const ended_target& item : ended) {
-    rows.emplace_back(item.machine, item.revision);
+    rows.emplace_back(item.machine,
+                      static_cast<std::uint32_t>(item.revision.epoch),
+                      item.revision.number);
   }
   return rows;
 }
@@ -141,7 +146,7 @@
   std::vector<ended_target> ended;
   if (rows != nullptr) {
     for (const schema::EndedTarget* row : *rows) {
-      ended.push_back({row->machine(), row->revision()});
+      ended.push_back({row->machine(), {row->revision(), row->epoch()}});
     }
   }
   return ended;
@@ -333,11 +338,15 @@
       update.configuration.size());
   schema::BeliefBuilder table(builder);
   table.add_version(kMeshVersion);
-  table.add_base_revision(update.base_revision);
-  table.add_revision(update.revision);
+  table.add_base_revision(update.base_revision.number);
+  table.add_base_epoch(update.base_revision.epoch);
+  table.add_revision(update.revision.number);
+  table.add_epoch(update.revision.epoch);
+  table.add_unsettled(!update.settled);
   table.add_age_ms(ToMilliseconds(update.age));
   table.add_configuration_version(update.configuration_version);
-  table.add_configuration_revision(update.configuration_revision);
+  table.add_configuration_revision(update.configuration_revision.number);
+  table.add_configuration_epoch(update.configuration_revision.epoch);
   table.add_holders_known_ms(ToMilliseconds(update.holders_known_for));
   table.add_configuration(configuration);
   table.add_targets(targets);
@@ -364,13 +373,15 @@
     return std::nullopt;
   }
   fleet_update update;
-  update.base_revision = table->base_revision();
-  update.revision = table->revision();
+  update.base_revision = {table->base_revision(), table->base_epoch()};
+  update.revision = {table->revision(), table->epoch()};
+  update.settled = !table->unsettled();
   update.reader = table->reader();
   update.ended = FromSchema(table->ended());
   update.age = milliseconds(table->age_ms());
   update.configuration_version = table->configuration_version();
-  update.configuration_revision = table->configuration_revision();
+  update.configuration_revision = {table->configuration_revision(),
+                                   table->configuration_epoch()};
   update.holders_known_for = milliseconds(table->holders_known_ms());
   update.configuration = std::string(ViewOf(table->configuration()));
   if (table->targets() != nullptr) {
--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -57,5 +57,70 @@
                   kPropagationLimit));
 }
 
+// Guards against a configuration or a target that is set back to the content of
+// the copy, or later changes that are missed, whatever happens to the entries
+// while the store is restored.
+TEST_CASE("a restored store sets back nothing and hides no later change") {
+  test_store store;
+  store.PutConfiguration(5);
+  store.PutTarget("a", 3, target_state::ready);
+  test_entry first(store, 1);
+  test_entry second(store, 2);
+  REQUIRE(WaitUntil(
+      [&] {
+        return second.Version() == 5 && first.GivesNewFlowsTo("a") &&
+               second.Snapshot()->entries == 2;
+      },
+      3s));
+  const test_store::content copy = store.Copy();
+  store.PutConfiguration(7);
+  store.PutTarget("a", 4, target_state::draining);
+  REQUIRE(WaitUntil(
+      [&] {
+        return first.Version() == 7 && second.Version() == 7 &&
+               !first.GivesNewFlowsTo("a") && !second.GivesNewFlowsTo("a");
+      },
+      3s));
+  std::unique_ptr<test_entry> started;
+  bool first_runs = true;
+  store.Restore(copy);
+  SUBCASE("all entries go on") {}
+  SUBCASE("the settings are reloaded") {
+    first.ReloadSettings();
+    second.ReloadSettings();
+  }
+  SUBCASE("an entry starts and knows only the copy") {
+    started = std::make_unique<test_entry>(store, 3);
+  }
+  SUBCASE("an entry is cut off from the store") {
+    first.SetStoreReachable(false);
+  }
+  SUBCASE("the reader stops") {
+    first.Freeze();
+    first_runs = false;
+  }
+  CHECK_FALSE(WaitUntil(
+      [&] {
+        return (first_runs && first.GivesNewFlowsTo("a")) ||
+               second.GivesNewFlowsTo("a");
+      },
+      1500ms));
+  first.SetStoreReachable(true);
+  store.PutTarget("a", 4, target_state::draining);
+  store.PutConfiguration(7);
+  store.PutConfiguration(8);
+  store.PutTarget("b", 1, target_state::ready);
+  CHECK(WaitUntil(
+      [&] {
+        return (!first_runs ||
+                (first.Version() == 8 && first.GivesNewFlowsTo("b"))) &&
+               second.Version() == 8 && second.GivesNewFlowsTo("b");
+      },
+      kPropagationLimit));
+  CHECK_FALSE(first.HasGoneBack());
+  CHECK_FALSE(second.HasGoneBack());
+  CHECK_FALSE(second.GivesNewFlowsTo("a"));
+}
+
 }  // namespace
 }  // namespace corianderplank
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -1,7 +1,10 @@
 #include "synchronizer_fixture.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "net/sleep_clock.h"
+
 namespace corianderplank {
 namespace {
 
@@ -11,6 +14,7 @@
 constexpr std::uint16_t kFleetStatePort = 28802;
 constexpr std::uint16_t kDeliveryPort = 28803;
 constexpr int kSeeds = 3;
+constexpr int kTargetNumber = 99;
 
 std::string AddressOf(int number) {
   return "127.0.0." + std::to_string(number);
@@ -36,7 +40,7 @@
 
 std::shared_ptr<const fleet_configuration> MakeConfiguration(
     std::uint64_t version,
-    std::uint64_t revision) {
+    const source_revision& revision) {
   auto configuration = std::make_shared<fleet_configuration>();
   configuration->version = version;
   configuration->revision = revision;
@@ -46,7 +50,22 @@
 
 void test_store::PutConfiguration(std::uint64_t version) {
   const std::lock_guard lock(mutex_);
-  content_.configuration = MakeConfiguration(version, ++content_.revision);
+  content_.configuration =
+      MakeConfiguration(version, {++content_.revision, epoch_});
+}
+
+void test_store::PutTarget(const std::string& name,
+                           std::uint64_t report_number,
+                           target_state reported) {
+  const std::lock_guard lock(mutex_);
+  fleet_target& target = content_.targets[name];
+  target.id = TargetIdOf(name);
+  target.address = ParseEndpoint(AddressOf(kTargetNumber) + ":8080");
+  target.service = ServiceIdOf("service");
+  target.target_start_ms = 1000;
+  target.report_number = report_number;
+  target.state = reported;
+  target.revision = {++content_.revision, epoch_};
 }
 
 test_store::content test_store::Copy() const {
@@ -58,52 +77,63 @@
   const std::lock_guard lock(mutex_);
   ++epoch_;
   content_ = copy;
+  // The revisions in the copy are the same, in the new epoch.
+  for (auto& [name, target] : content_.targets) {
+    target.revision.epoch = epoch_;
+  }
 }
 
 fleet_read_result test_store::ReadAll() const {
   const std::lock_guard lock(mutex_);
   fleet_read_result result;
   result.status = read_status::complete;
-  result.epoch = epoch_;
-  result.revision = content_.revision;
+  result.revision = {content_.revision, epoch_};
   result.configuration = content_.configuration;
+  for (const auto& [name, target] : content_.targets) {
+    result.targets.push_back(target);
+  }
   return result;
 }
 
-fleet_read_result test_store::ReadChanges(std::uint64_t after) const {
+fleet_read_result test_store::ReadChanges(const source_revision& after) const {
   fleet_read_result result = ReadAll();
-  if (result.revision < after) {
+  if (result.revision.number < after.number) {
     result.status = read_status::history_lost;
   }
   if (result.configuration != nullptr &&
-      result.configuration->revision <= after) {
+      result.configuration->revision.number <= after.number) {
     result.configuration = nullptr;
   }
+  std::erase_if(result.targets, [&](const fleet_target& target) {
+    return target.revision.number <= after.number;
+  });
   return result;
 }
 
 void test_store_client::ReadAll(read_callback callback) {
-  loop_.Post(
-      [this, callback = std::move(callback)] { callback(store_.ReadAll()); });
+  loop_.Post([this, callback = std::move(callback)] {
+    callback(reachable_ ? store_.ReadAll() : fleet_read_result());
+  });
 }
 
-void test_store_client::ReadChanges(std::uint64_t after,
+void test_store_client::ReadChanges(const source_revision& after,
                                     read_callback callback) {
   loop_.Post([this, after, callback = std::move(callback)] {
-    callback(store_.ReadChanges(after));
+    callback(reachable_ ? store_.ReadChanges(after) : fleet_read_result());
   });
 }
 
 std::shared_ptr<const fleet_configuration>
 test_store_client::ParseConfiguration(const std::string& text,
-                                      std::uint64_t revision) const {
+                                      const source_revision& revision) const {
   return MakeConfiguration(std::stoull(text), revision);
 }
 
 test_entry::test_entry(test_store& store, std::uint8_t number)
-    : client_(loop_, store),
+    : settings_(MakeSettings(number)),
+      client_(loop_, store),
       synchronizer_(loop_,
-                    MakeSettings(number),
+                    settings_,
                     client_,
                     counters_,
                     [this](std::shared_ptr<const fleet_snapshot> snapshot) {
@@ -121,6 +151,10 @@
 
 void test_entry::OnSnapshot(std::shared_ptr<const fleet_snapshot> snapshot) {
   const std::lock_guard lock(mutex_);
+  if (snapshot_ != nullptr &&
+      snapshot->configuration->version < snapshot_->configuration->version) {
+    has_gone_back_ = true;
+  }
   snapshot_ = std::move(snapshot);
   if (freezes_after_version_ != 0 &&
       snapshot_->configuration->version >= freezes_after_version_) {
@@ -134,6 +168,21 @@
   return snapshot_;
 }
 
+void test_entry::ReloadSettings() {
+  loop_.Post([this] { synchronizer_.SetSeeds(settings_.seeds); });
+}
+
+bool test_entry::GivesNewFlowsTo(const std::string& name) const {
+  const auto snapshot = Snapshot();
+  const time_point now = ClockWithSleep();
+  return snapshot != nullptr &&
+         std::any_of(snapshot->targets.begin(), snapshot->targets.end(),
+                     [&](const fleet_target& target) {
+                       return target.id == TargetIdOf(name) &&
+                              target.AcceptsNewFlows(now);
+                     });
+}
+
 std::uint64_t test_entry::Version() const {
   const auto snapshot = Snapshot();
   return snapshot == nullptr ? 0 : snapshot->configuration->version;
--- /dev/null
+++ b/Tests/platform/store_client_test.cc
@@ -0,0 +1,94 @@
+/// @file
+/// Tests of store_client: all revisions of an answer belong to the epoch that
+/// the store names in it.
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "net/http_server.h"
+#include "net/sleep_clock.h"
+#include "platform/store_client.h"
+
+namespace corianderplank::platform {
+namespace {
+
+const endpoint kStore = ParseEndpoint("127.0.0.1:28741");
+
+/// Answer of the store stand-in to a request.
+struct answer {
+  std::string epoch;
+  std::string body;
+  int status = 200;
+};
+
+/// @param answers answers to successive requests.
+/// @param after revision from which changes are read; 0 reads everything.
+/// @return the result of one read.
+fleet_read_result Read(std::vector<answer> answers,
+                       const source_revision& after) {
+  event_loop loop;
+  std::size_t next = 0;
+  const http_server server(
+      loop, kStore, [&](const http_request& /*request*/, auto responder) {
+        const answer& item = answers.at(next++);
+        http_response response;
+        response.status = item.status;
+        response.body = item.body;
+        if (!item.epoch.empty()) {
+          response.headers["Store-Era"] = item.epoch;
+        }
+        responder->Respond(std::move(response));
+      });
+  store_client client(loop, kStore, ClockWithSleep);
+  fleet_read_result received;
+  const auto on_read = [&](const fleet_read_result& result) {
+    received = result;
+    loop.Stop();
+  };
+  if (after == source_revision()) {
+    client.ReadAll(on_read);
+  } else {
+    client.ReadChanges(after, on_read);
+  }
+  loop.Run();
+  return received;
+}
+
+const char* const kChanges =
+    R"({"events":[{"Key":"servers/x","Revision":13,"Tombstone":true}],)"
+    R"("AtRev":15})";
+
+TEST_CASE("an answer's epoch applies to its revisions") {
+  const fleet_read_result result = Read({{"2", kChanges}}, {12, 2});
+  REQUIRE(result.status == read_status::complete);
+  CHECK(result.revision == source_revision(15, 2));
+  REQUIRE(result.targets.size() == 1);
+  CHECK(result.targets[0].revision == source_revision(13, 2));
+}
+
+TEST_CASE("an answer without an epoch belongs to epoch 0") {
+  const fleet_read_result result = Read({{"", kChanges}}, {12, 0});
+  REQUIRE(result.status == read_status::complete);
+  CHECK(result.revision == source_revision(15, 0));
+}
+
+TEST_CASE("an answer with a malformed epoch is refused") {
+  for (const char* epoch : {"x", "2x", "-1", "99999999999999999999"}) {
+    CHECK(Read({{epoch, kChanges}}, {12, 2}).status == read_status::refused);
+  }
+}
+
+// Guards against a list that mixes the content from before and after a
+// restoration.
+TEST_CASE("pages of two epochs make no list") {
+  const std::string first =
+      R"({"items":[{"Key":"a","Revision":1}],"Truncated":true,"AtRev":15})";
+  const std::string last = R"({"items":[],"Truncated":false,"AtRev":15})";
+  CHECK(Read({{"2", first}, {"3", last}}, {}).status ==
+        read_status::history_lost);
+  CHECK(Read({{"2", first}, {"2", last}}, {}).status == read_status::complete);
+}
+
+}  // namespace
+}  // namespace corianderplank::platform
--- a/Tests/platform/store_page_test.cc
+++ b/Tests/platform/store_page_test.cc
@@ -59,8 +59,8 @@
  "Limits":{"IdleTimeoutMs":15000}})";
 
 TEST_CASE("a target") {
-  const auto page =
-      ParsePage(Page({Item("servers/i-1", Target().dump(), 412)}, 530), kNow);
+  const auto page = ParsePage(
+      Page({Item("servers/i-1", Target().dump(), 412)}, 530), 0, kNow);
   REQUIRE(page);
   CHECK(page->read.revision == 530);
   REQUIRE(page->read.targets.size() == 1);
@@ -79,7 +79,7 @@
   const auto page = ParsePage(
       R"({"events":[{"Key":"servers/i-1","Revision":413,"Tombstone":true}],)"
       R"("AtRev":413})",
-      kNow);
+      0, kNow);
   REQUIRE(page);
   REQUIRE(page->read.targets.size() == 1);
   CHECK(page->read.targets[0].removed);
@@ -120,7 +120,7 @@
   items.push_back({{"Key", 5}});
   items.push_back("text");
   items.push_back(Item("servers/good", Target().dump(), 402));
-  const auto page = ParsePage(Page(items, 530), kNow);
+  const auto page = ParsePage(Page(items, 530), 0, kNow);
   REQUIRE(page);
   int usable = 0;
   for (const fleet_target& target : page->read.targets) {
@@ -132,7 +132,7 @@
 
 TEST_CASE("a configuration") {
   const auto page =
-      ParsePage(Page({Item("op/config", kConfiguration, 20)}, 21), kNow);
+      ParsePage(Page({Item("op/config", kConfiguration, 20)}, 21), 0, kNow);
   REQUIRE(page);
   REQUIRE(page->read.configuration);
   const fleet_configuration& configuration = *page->read.configuration;
@@ -165,7 +165,7 @@
 
 TEST_CASE("arbitrary bytes are parsed or rejected") {
   rc::check([](const std::string& bytes) {
-    ParsePage(bytes, kNow);
+    ParsePage(bytes, 0, kNow);
     ParseConfigurationText(bytes, 1);
   });
   // Bodies with one changed byte reach deeper into the parser.
@@ -175,7 +175,7 @@
   rc::check([&](std::uint64_t seed) {
     std::string changed = body;
     changed[seed % changed.size()] = static_cast<char>(MixHash(seed, 1));
-    ParsePage(changed, kNow);
+    ParsePage(changed, 0, kNow);
     std::string configuration = kConfiguration;
     configuration[seed % configuration.size()] =
         static_cast<char>(MixHash(seed, 2));
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -58,7 +58,7 @@
   message.absent = true;
   message.known_for = 28ms;
   message.pause = 29ms;
-  message.ended = {{26, 27}};
+  message.ended = {{26, {27, 28}}};
   message.payload = "payload";
   return message;
 }
@@ -93,7 +93,7 @@
   CHECK(message->pause == 29ms);
   REQUIRE(message->ended.size() == 1);
   CHECK(message->ended[0].machine == 26);
-  CHECK(message->ended[0].revision == 27);
+  CHECK(message->ended[0].revision == source_revision(27, 28));
   REQUIRE(message->unlisted.size() == 1);
   CHECK(message->unlisted[0].machine == 20);
   CHECK(message->unlisted[0].service.value == 21);
@@ -149,11 +149,12 @@
 
 TEST_CASE("a fleet update survives a round trip, with times as durations") {
   fleet_update update;
-  update.base_revision = 3;
-  update.revision = 9;
+  update.base_revision = {3, 11};
+  update.revision = {9, 12};
+  update.settled = false;
   update.age = 120ms;
   update.configuration_version = 4;
-  update.configuration_revision = 8;
+  update.configuration_revision = {8, 13};
   update.configuration = "text";
   update.holders_known_for = 5000ms;
   fleet_target item;
@@ -163,7 +164,8 @@
   item.failure_domain = 5;
   item.slots = 6;
   item.state = target_state::draining;
-  item.revision = 7;
+  item.revision = {7, 14};
+  item.report_number = 15;
   item.target_start_ms = 8;
   item.warm_up_until = kNow + 900ms;
   item.removed = true;
@@ -175,11 +177,12 @@
   const time_point then = kNow + 100h;
   const auto back = DecodeFleetUpdate(bytes.View(), then);
   REQUIRE(back);
-  CHECK(back->base_revision == 3);
-  CHECK(back->revision == 9);
+  CHECK(back->base_revision == source_revision(3, 11));
+  CHECK(back->revision == source_revision(9, 12));
+  CHECK_FALSE(back->settled);
   CHECK(back->age == 120ms);
   CHECK(back->configuration_version == 4);
-  CHECK(back->configuration_revision == 8);
+  CHECK(back->configuration_revision == source_revision(8, 13));
   CHECK(back->configuration == "text");
   CHECK(back->holders_known_for == 5000ms);
   REQUIRE(back->targets.size() == 1);
@@ -190,7 +193,8 @@
   CHECK(target.failure_domain == 5);
   CHECK(target.slots == 6);
   CHECK(target.state == target_state::draining);
-  CHECK(target.revision == 7);
+  CHECK(target.revision == source_revision(7, 14));
+  CHECK(target.report_number == 15);
   CHECK(target.target_start_ms == 8);
   CHECK(target.warm_up_until == then + 900ms);
   CHECK(target.removed);
--- a/Tests/wire/quiet_fleet_test.cc
+++ b/Tests/wire/quiet_fleet_test.cc
@@ -73,7 +73,7 @@
   void Read(quiet_entry& reader) {
     ++reads;
     reader.schedule.OnReadBegin(now);
-    const std::uint64_t base = reader.state.Revision();
+    const source_revision base = reader.state.Revision();
     reader.state.ApplyList(now, now, revision, rows);
     reader.schedule.OnReadEnd(now, true);
     fleet_update update = reader.state.UpdateSince(now, base);
--- a/Utilities/mutations.py
+++ b/Utilities/mutations.py
@@ -56,6 +56,18 @@
      "  if (available_retries_ < 1) {\n    return false;\n  }\n", ""),
     ("a lease counts a pause", "request_agent.cc",
      "} else if (elapsed < kSuspendThreshold) {", "} else {"),
+    ("the position passes a missing configuration", "fleet_state.cc",
+     "if (announced_version_ > ConfigurationVersion()) {", "if (false) {"),
+    ("changes since a lost history are used", "fleet_state.cc",
+     "if (is_list || base.epoch == revision.epoch) {", "if (true) {"),
+    ("a restored source undoes later reports", "fleet_state.cc",
+     "row.revision.epoch > item.revision.epoch && row.IsOlderReportThan(item)", "false"),
+    ("an update of a lost history is applied", "fleet_state.cc",
+     "if (update.revision.epoch < revision_.epoch) {", "if (false) {"),
+    ("ignored rows are never decided", "fleet_state.cc",
+     "return has_ignored_rows_ && now >= settles_at_;", "return false;"),
+    ("a process started on a copy calls its state settled", "fleet_state.cc",
+     "update.settled = !has_ignored_rows_ && now >= settles_at_;", "update.settled = true;"),
 )
 
 
