Take the decision on ignored rows over from the reader

An entry that received the complete state of a reader which ignored rows of a restored source kept them for good if the state does not fit a datagram: the reader's decision after the grace period has no rows then, and the entry had no reason to fetch them. Now the update says that rows were ignored, and the entry fetches the decision.

'is it set' replaces comparisons with an empty revision.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -771,7 +771,8 @@
     VT_BASE_EPOCH = 26,
     VT_EPOCH = 28,
     VT_CONFIGURATION_EPOCH = 30,
-    VT_UNSETTLED = 32
+    VT_UNSETTLED = 32,
+    VT_IGNORED_ROWS = 34
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -818,6 +819,9 @@
   bool unsettled() const {
     return GetField<uint8_t>(VT_UNSETTLED, 0) != 0;
   }
+  bool ignored_rows() const {
+    return GetField<uint8_t>(VT_IGNORED_ROWS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -839,6 +843,7 @@
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_UNSETTLED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IGNORED_ROWS, 1) &&
            verifier.EndTable();
   }
 };
@@ -892,6 +897,9 @@
   void add_unsettled(bool unsettled) {
     fbb_.AddElement<uint8_t>(Belief::VT_UNSETTLED, static_cast<uint8_t>(unsettled), 0);
   }
+  void add_ignored_rows(bool ignored_rows) {
+    fbb_.AddElement<uint8_t>(Belief::VT_IGNORED_ROWS, static_cast<uint8_t>(ignored_rows), 0);
+  }
   explicit BeliefBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -919,7 +927,8 @@
     uint64_t base_epoch = 0,
     uint64_t epoch = 0,
     uint64_t configuration_epoch = 0,
-    bool unsettled = false) {
+    bool unsettled = false,
+    bool ignored_rows = false) {
   BeliefBuilder builder_(_fbb);
   builder_.add_configuration_epoch(configuration_epoch);
   builder_.add_epoch(epoch);
@@ -934,6 +943,7 @@
   builder_.add_configuration(configuration);
   builder_.add_holders_known_ms(holders_known_ms);
   builder_.add_age_ms(age_ms);
+  builder_.add_ignored_rows(ignored_rows);
   builder_.add_unsettled(unsettled);
   builder_.add_version(version);
   return builder_.Finish();
@@ -955,7 +965,8 @@
     uint64_t base_epoch = 0,
     uint64_t epoch = 0,
     uint64_t configuration_epoch = 0,
-    bool unsettled = false) {
+    bool unsettled = false,
+    bool ignored_rows = false) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<corianderplank::schema::Target>>(*targets) : 0;
   auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
@@ -975,7 +986,8 @@
       base_epoch,
       epoch,
       configuration_epoch,
-      unsettled);
+      unsettled,
+      ignored_rows);
 }
 
 }  // namespace schema
--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -152,7 +152,7 @@
 
 read_relation fleet_state::Relate(const source_revision& base,
                                   const source_revision& revision) const {
-  const bool is_list = base == source_revision();
+  const bool is_list = !base.IsSet();
   if (revision.epoch < revision_.epoch || (is_list && revision < revision_)) {
     return read_relation::outdated;
   }
@@ -178,7 +178,7 @@
   // This includes the first list: a process that has just started cannot tell
   // how long ago the source was restored.
   settles_at_ = now + limits_.source_recovery_grace;
-  if (revision_ != source_revision()) {
+  if (revision_.IsSet()) {
     recovery_until_ = settles_at_;
   }
 }
@@ -251,11 +251,12 @@
     return update_result::outdated;
   }
   DetectSourceOutage(now, now - update.age);
-  const bool is_complete = update.base_revision == source_revision();
+  const bool is_complete = !update.base_revision.IsSet();
   if (is_complete) {
     DetectRestoration(now, update.revision);
+    has_ignored_rows_ =
+        !update.settled && (has_ignored_rows_ || update.has_ignored_rows);
     if (update.settled) {
-      has_ignored_rows_ = false;
       settles_at_ = std::min(settles_at_, now);
     }
   } else if (update.base_revision.epoch != revision_.epoch || NeedsList(now)) {
@@ -301,6 +302,7 @@
                                       const source_revision& revision) const {
   fleet_update update;
   update.settled = !has_ignored_rows_ && now >= settles_at_;
+  update.has_ignored_rows = has_ignored_rows_;
   update.base_revision = revision;
   update.revision = revision_;
   update.age = std::chrono::duration_cast<milliseconds>(now - confirmed_at_);
@@ -309,7 +311,7 @@
     update.configuration_version = configuration_->version;
     update.configuration_revision = configuration_->revision;
   }
-  if (revision == source_revision()) {
+  if (!revision.IsSet()) {
     update.ended = ended_.All();
   }
   for (const auto& [id, item] : targets_) {
@@ -358,7 +360,7 @@
 std::optional<ended_target> fleet_state::RecordTargetAbsence(
     time_point now,
     std::uint32_t machine) {
-  if (revision_ == source_revision()) {
+  if (!revision_.IsSet()) {
     early_absences_[machine] = now;
     return std::nullopt;
   }
@@ -375,7 +377,7 @@
 
 std::vector<ended_target> fleet_state::ApplyEarlyAbsences(time_point now) {
   std::vector<ended_target> records;
-  if (revision_ == source_revision()) {
+  if (!revision_.IsSet()) {
     return records;
   }
   for (const auto& [machine, received_at] :
--- a/Source/core/fleet_state.h
+++ b/Source/core/fleet_state.h
@@ -244,7 +244,8 @@
   time_point recovery_until_{};
   /// End of the period in which targets write again to a restored source.
   time_point settles_at_{};
-  /// Whether rows of a restored source were ignored since they were older.
+  /// Whether rows of a restored source were ignored since they were older, here
+  /// or by the peer that sent its complete state.
   bool has_ignored_rows_ = false;
   time_point agents_known_at_{};
 };
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -131,6 +131,8 @@
   /// Whether the targets have had time to write again since the source was
   /// restored, so that no row is older than what others may know.
   bool settled = true;
+  /// Whether the sender ignores rows of a restored source until then.
+  bool has_ignored_rows = false;
   /// Time from the start of the read to the sending of the update.
   std::chrono::milliseconds age{0};
   std::uint64_t configuration_version = 0;
--- a/Source/core/source_revision.h
+++ b/Source/core/source_revision.h
@@ -18,6 +18,9 @@
   constexpr source_revision(std::uint64_t number, std::uint64_t epoch = 0)
       : epoch(epoch), number(number) {}
 
+  /// @return whether it is a revision; false before anything was read.
+  constexpr bool IsSet() const { return number != 0; }
+
   friend auto operator<=>(const source_revision&,
                           const source_revision&) = default;
 
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -127,8 +127,8 @@
 
   void Read(time_point started_at) {
     schedule.OnReadBegin(started_at);
-    const bool is_full = fleet.Revision() == source_revision() ||
-                         full_read_needed || fleet.NeedsList(started_at);
+    const bool is_full = !fleet.Revision().IsSet() || full_read_needed ||
+                         fleet.NeedsList(started_at);
     const source_revision base = is_full ? source_revision() : fleet.Revision();
     const auto on_read = [this, started_at,
                           base](const fleet_read_result& read) {
@@ -184,7 +184,7 @@
     // older, have no base: the others need the complete state.
     const bool needs_complete_update =
         read.revision.epoch > previous.epoch || fleet.NeedsList(started_at);
-    if (base == source_revision()) {
+    if (!base.IsSet()) {
       full_read_needed = false;
       fleet.ApplyList(now, started_at, read.revision, read.targets);
     } else {
@@ -200,7 +200,7 @@
 
   void LogRestoration(const source_revision& previous) {
     const source_revision& current = fleet.Revision();
-    if (previous != source_revision() && current.epoch > previous.epoch) {
+    if (previous.IsSet() && current.epoch > previous.epoch) {
       result_counters.Add(result_code::source_restored);
       LogEvent(log_level::warning, "source_restored",
                {{"revision", FormatRevision(current)},
@@ -217,7 +217,7 @@
                  status == read_status::refused ? "refused" : "unreachable"}});
     }
     schedule.OnReadEnd(now, false);
-    if (fleet.Revision() == source_revision()) {
+    if (!fleet.Revision().IsSet()) {
       FetchFromNextPeer();
     }
   }
@@ -254,8 +254,7 @@
   }
 
   bool IsReady() const {
-    return fleet.Configuration() != nullptr &&
-           fleet.Revision() != source_revision();
+    return fleet.Configuration() != nullptr && fleet.Revision().IsSet();
   }
 
   // Sends the changes of this entry's read to all other entries.
@@ -264,9 +263,8 @@
     update.reader = settings.address;
     const std::vector<member_address> receivers = members.All();
     if (update.targets.size() >
-        (base == source_revision()
-             ? kMaxRowsPerDatagram
-             : kMaxRowsPerDatagram * kMaxDatagramsPerRead)) {
+        (base.IsSet() ? kMaxRowsPerDatagram * kMaxDatagramsPerRead
+                      : kMaxRowsPerDatagram)) {
       // Receivers that lack rows fetch them. A full list must not be split,
       // since targets that are missing from it count as removed.
       update.targets.clear();
@@ -499,7 +497,7 @@
     // Forwards to the entries that the sender assigned to this relay.
     peers.BroadcastUpdate(now, *update, message.members);
     const source_revision previous = fleet.Revision();
-    const bool has_list = previous != source_revision();
+    const bool has_list = previous.IsSet();
     const update_result result =
         has_list ? fleet.ApplyUpdate(now, *update) : update_result::gap;
     LogRestoration(previous);
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -343,6 +343,7 @@
   table.add_revision(update.revision.number);
   table.add_epoch(update.revision.epoch);
   table.add_unsettled(!update.settled);
+  table.add_ignored_rows(update.has_ignored_rows);
   table.add_age_ms(ToMilliseconds(update.age));
   table.add_configuration_version(update.configuration_version);
   table.add_configuration_revision(update.configuration_revision.number);
@@ -376,6 +377,7 @@
   update.base_revision = {table->base_revision(), table->base_epoch()};
   update.revision = {table->revision(), table->epoch()};
   update.settled = !table->unsettled();
+  update.has_ignored_rows = table->ignored_rows();
   update.reader = table->reader();
   update.ended = FromSchema(table->ended());
   update.age = milliseconds(table->age_ms());
--- a/Tests/core/restored_source_test.cc
+++ b/Tests/core/restored_source_test.cc
@@ -144,6 +144,29 @@
   CHECK_FALSE(state.NeedsList(settled_at));
 }
 
+// Guards against entries that keep a row for good that their reader has ignored
+// for a while.
+TEST_CASE("entries without a list take the decision on ignored rows over") {
+  fleet_state reader = EntryBeforeRestoration();
+  fleet_state state = EntryBeforeRestoration();
+  fleet_target restarted = Report(1, target_state::ready, {9, 2});
+  restarted.target_start_ms = 900;
+  reader.ApplyList(kRestored, kRestored, kCopy, {restarted});
+  REQUIRE(state.ApplyUpdate(kRestored, reader.UpdateSince(kRestored, {})) ==
+          update_result::applied);
+  const time_point settled_at = kRestored + 2s;
+  reader.ApplyList(settled_at, settled_at, kCopy, {restarted});
+  // A full state that does not fit a datagram is announced without rows.
+  CHECK(state.ApplyUpdate(settled_at, reader.UpdateSince(settled_at, kCopy)) ==
+        update_result::gap);
+  CHECK(state.ApplyUpdate(settled_at, reader.UpdateSince(settled_at, {})) ==
+        update_result::applied);
+  CHECK(AcceptsNewFlows(state, settled_at));
+  CHECK(state.ApplyUpdate(settled_at + 1s,
+                          reader.UpdateSince(settled_at, kCopy)) ==
+        update_result::applied);
+}
+
 TEST_CASE("a state without ignored rows needs no further list") {
   fleet_state state = EntryBeforeRestoration();
   state.ApplyList(kRestored, kRestored, kCopy,
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -152,6 +152,7 @@
   update.base_revision = {3, 11};
   update.revision = {9, 12};
   update.settled = false;
+  update.has_ignored_rows = true;
   update.age = 120ms;
   update.configuration_version = 4;
   update.configuration_revision = {8, 13};
@@ -180,6 +181,7 @@
   CHECK(back->base_revision == source_revision(3, 11));
   CHECK(back->revision == source_revision(9, 12));
   CHECK_FALSE(back->settled);
+  CHECK(back->has_ignored_rows);
   CHECK(back->age == 120ms);
   CHECK(back->configuration_version == 4);
   CHECK(back->configuration_revision == source_revision(8, 13));
