Ignore older rows of a restored store until silent targets are removed

A target that was draining before the restoration and cannot write again is listed as ready by the copy until the store removes it, three heartbeats later. After 2 s that row would have counted, and the target would have got new flows. The period is now 5 s and separate from the 2 s in which missing targets may return.

--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -177,9 +177,9 @@
   }
   // This includes the first list: a process that has just started cannot tell
   // how long ago the source was restored.
-  settles_at_ = now + limits_.source_recovery_grace;
+  settles_at_ = now + limits_.restoration_grace;
   if (revision_.IsSet()) {
-    recovery_until_ = settles_at_;
+    recovery_until_ = now + limits_.source_recovery_grace;
   }
 }
 
--- a/Source/core/fleet_state.h
+++ b/Source/core/fleet_state.h
@@ -21,9 +21,12 @@
   /// holders for the same time.
   std::chrono::milliseconds longest_flow{60000};
   /// Time after the recovery of a failed source within which missing targets
-  /// may be listed again, and after its restoration from a copy within which
-  /// rows may be older than known ones.
+  /// may be listed again.
   std::chrono::milliseconds source_recovery_grace{2000};
+  /// Time after the restoration of the source from a copy within which rows may
+  /// be older than known ones. Longer than the three heartbeats after which the
+  /// source removes a target that does not write again.
+  std::chrono::milliseconds restoration_grace{5000};
 };
 
 /// Splits an update into parts with a limited number of rows, ordered by
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -70,9 +70,7 @@
         source(source),
         result_counters(result_counters),
         on_snapshot(std::move(on_snapshot)),
-        fleet(
-            {settings.longest_flow, fleet_state_limits().source_recovery_grace},
-            settings.first_start),
+        fleet({.longest_flow = settings.longest_flow}, settings.first_start),
         schedule(settings.address, reader_periods()),
         peers(loop, {settings.address, settings.peer_port}, result_counters),
         fetcher(loop,
