--- a/Tests/core/restored_source_test.cc
+++ b/Tests/core/restored_source_test.cc
@@ -337,7 +337,9 @@
   fleet_target later = Report(1, target_state::ready, {14, 2});
   later.id = TargetIdOf("b");
   state.ApplyList(kRestored, kRestored, {14, 2}, {later});
-  for (const fleet_target& item : state.Snapshot(kRestored)->targets) {
+  const auto snapshot = state.Snapshot(kRestored);
+  REQUIRE(snapshot->targets.size() == 2);
+  for (const fleet_target& item : snapshot->targets) {
     CHECK(item.ended == (item.id == TargetIdOf("a")));
   }
 }
