Test late replies, stale reads and texts that cannot be fetched

A third case guards the time until an entry reads for itself when its reader announces a configuration whose text it cannot fetch: such an entry was suspected of deferring its own reads for good, as the reader's read counts while the text is on its way.

All cases pass on the unchanged sources.

--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -37,6 +37,25 @@
                   kPropagationLimit));
 }
 
+// Guards against an entry that defers its own reads for good while its reader
+// announces a configuration that it cannot fetch, as on a link that loses one
+// direction.
+TEST_CASE("a configuration that cannot be fetched is read from the store") {
+  test_store store;
+  store.PutConfiguration(3);
+  test_entry reader(store, 1);
+  test_entry second(store, 2, test_entry::peer_fetches::unanswered);
+  REQUIRE(WaitUntil(
+      [&] {
+        return reader.Version() == 3 && second.Version() == 3 &&
+               second.Snapshot()->entries == 2;
+      },
+      3s));
+  std::this_thread::sleep_for(kSettlingTime);
+  store.PutConfiguration(7);
+  CHECK(WaitUntil([&] { return second.Version() == 7; }, kPropagationLimit));
+}
+
 // Guards against a configuration that is never read: a store restored from an
 // older copy gave it a revision that the reader had already passed.
 TEST_CASE("a configuration of a restored store is read at a reused revision") {
@@ -57,6 +76,26 @@
                   kPropagationLimit));
 }
 
+// Guards against a configuration or a target that is set back by a read from a
+// replica that lags behind.
+TEST_CASE("a stale read sets back neither configuration nor targets") {
+  test_store store;
+  store.PutConfiguration(5);
+  store.PutTarget("a", 3, target_state::ready);
+  const test_store::content stale = store.Copy();
+  store.PutConfiguration(7);
+  store.PutTarget("a", 4, target_state::draining);
+  test_entry entry(store, 1);
+  REQUIRE(WaitUntil([&] { return entry.Version() == 7; }, 3s));
+  entry.Client().LagBehind(stale);
+  CHECK_FALSE(WaitUntil([&] { return entry.GivesNewFlowsTo("a"); }, 1500ms));
+  entry.Client().CatchUp();
+  store.PutConfiguration(8);
+  CHECK(WaitUntil([&] { return entry.Version() == 8; }, kPropagationLimit));
+  CHECK_FALSE(entry.HasGoneBack());
+  CHECK_FALSE(entry.GivesNewFlowsTo("a"));
+}
+
 // Guards against a configuration or a target that is set back to the content of
 // the copy, or later changes that are missed, whatever happens to the entries
 // while the store is restored.
@@ -81,8 +120,13 @@
                !first.GivesNewFlowsTo("a") && !second.GivesNewFlowsTo("a");
       },
       3s));
+  const test_store::content lost = store.Copy();
   std::unique_ptr<test_entry> started;
   bool first_runs = true;
+  SUBCASE("replies of the lost history arrive late") {
+    first.Client().SetReplyDelay(600ms);
+    std::this_thread::sleep_for(700ms);
+  }
   store.Restore(copy);
   SUBCASE("all entries go on") {}
   SUBCASE("the settings are reloaded") {
@@ -93,7 +137,10 @@
     started = std::make_unique<test_entry>(store, 3);
   }
   SUBCASE("an entry is cut off from the store") {
-    first.SetStoreReachable(false);
+    first.Client().SetReachable(false);
+  }
+  SUBCASE("an entry's reads are stale") {
+    first.Client().LagBehind(lost);
   }
   SUBCASE("the reader stops") {
     first.Freeze();
@@ -105,7 +152,8 @@
                second.GivesNewFlowsTo("a");
       },
       1500ms));
-  first.SetStoreReachable(true);
+  first.Client().SetReachable(true);
+  first.Client().CatchUp();
   store.PutTarget("a", 4, target_state::draining);
   store.PutConfiguration(7);
   store.PutConfiguration(8);
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -13,6 +13,8 @@
 constexpr std::uint16_t kPeerPort = 28801;
 constexpr std::uint16_t kFleetStatePort = 28802;
 constexpr std::uint16_t kDeliveryPort = 28803;
+/// A port at which no entry answers.
+constexpr std::uint16_t kUnservedPort = 28804;
 constexpr int kSeeds = 3;
 constexpr int kTargetNumber = 99;
 
@@ -20,13 +22,18 @@
   return "127.0.0." + std::to_string(number);
 }
 
-packet_settings MakeSettings(std::uint8_t number) {
+packet_settings MakeSettings(std::uint8_t number,
+                             test_entry::peer_fetches fetches) {
   packet_settings settings;
   settings.name = "entry-" + std::to_string(number);
   settings.address = ParseEndpoint(AddressOf(number) + ":1").address;
   settings.peer_port = kPeerPort;
   settings.delivery_port = kDeliveryPort;
-  settings.fleet_state_endpoint = {settings.address, kFleetStatePort};
+  // An entry fetches from the port that it serves itself.
+  settings.fleet_state_endpoint = {settings.address,
+                                   fetches == test_entry::peer_fetches::served
+                                       ? kFleetStatePort
+                                       : kUnservedPort};
   settings.longest_flow = 60s;
   settings.first_start = true;
   for (int seed = 1; seed <= kSeeds; ++seed) {
@@ -51,7 +58,7 @@
 void test_store::PutConfiguration(std::uint64_t version) {
   const std::lock_guard lock(mutex_);
   content_.configuration =
-      MakeConfiguration(version, {++content_.revision, epoch_});
+      MakeConfiguration(version, {++content_.revision, content_.epoch});
 }
 
 void test_store::PutTarget(const std::string& name,
@@ -65,7 +72,7 @@
   target.target_start_ms = 1000;
   target.report_number = report_number;
   target.state = reported;
-  target.revision = {++content_.revision, epoch_};
+  target.revision = {++content_.revision, content_.epoch};
 }
 
 test_store::content test_store::Copy() const {
@@ -75,52 +82,62 @@
 
 void test_store::Restore(const content& copy) {
   const std::lock_guard lock(mutex_);
-  ++epoch_;
+  const std::uint64_t epoch = content_.epoch + 1;
   content_ = copy;
+  content_.epoch = epoch;
   // The revisions in the copy are the same, in the new epoch.
   for (auto& [name, target] : content_.targets) {
-    target.revision.epoch = epoch_;
+    target.revision.epoch = epoch;
   }
 }
 
-fleet_read_result test_store::ReadAll() const {
-  const std::lock_guard lock(mutex_);
+fleet_read_result test_store::Read(const content& content,
+                                   const source_revision& after) {
   fleet_read_result result;
-  result.status = read_status::complete;
-  result.revision = {content_.revision, epoch_};
-  result.configuration = content_.configuration;
-  for (const auto& [name, target] : content_.targets) {
-    result.targets.push_back(target);
+  result.status = content.revision < after.number ? read_status::history_lost
+                                                  : read_status::complete;
+  result.revision = {content.revision, content.epoch};
+  if (content.configuration != nullptr &&
+      content.configuration->revision.number > after.number) {
+    result.configuration = content.configuration;
+  }
+  for (const auto& [name, target] : content.targets) {
+    if (target.revision.number > after.number) {
+      result.targets.push_back(target);
+    }
   }
   return result;
 }
 
-fleet_read_result test_store::ReadChanges(const source_revision& after) const {
-  fleet_read_result result = ReadAll();
-  if (result.revision.number < after.number) {
-    result.status = read_status::history_lost;
-  }
-  if (result.configuration != nullptr &&
-      result.configuration->revision.number <= after.number) {
-    result.configuration = nullptr;
-  }
-  std::erase_if(result.targets, [&](const fleet_target& target) {
-    return target.revision.number <= after.number;
-  });
-  return result;
+void test_store_client::LagBehind(const test_store::content& copy) {
+  const std::lock_guard lock(mutex_);
+  lagging_copy_ = copy;
+}
+
+void test_store_client::CatchUp() {
+  const std::lock_guard lock(mutex_);
+  lagging_copy_.reset();
 }
 
 void test_store_client::ReadAll(read_callback callback) {
-  loop_.Post([this, callback = std::move(callback)] {
-    callback(reachable_ ? store_.ReadAll() : fleet_read_result());
-  });
+  Read({}, std::move(callback));
 }
 
 void test_store_client::ReadChanges(const source_revision& after,
                                     read_callback callback) {
-  loop_.Post([this, after, callback = std::move(callback)] {
-    callback(reachable_ ? store_.ReadChanges(after) : fleet_read_result());
-  });
+  Read(after, std::move(callback));
+}
+
+void test_store_client::Read(const source_revision& after,
+                             read_callback callback) {
+  fleet_read_result result;
+  if (reachable_) {
+    const std::lock_guard lock(mutex_);
+    result =
+        test_store::Read(lagging_copy_ ? *lagging_copy_ : store_.Copy(), after);
+  }
+  loop_.After(reply_delay_, [callback = std::move(callback),
+                             result = std::move(result)] { callback(result); });
 }
 
 std::shared_ptr<const fleet_configuration>
@@ -129,8 +146,10 @@
   return MakeConfiguration(std::stoull(text), revision);
 }
 
-test_entry::test_entry(test_store& store, std::uint8_t number)
-    : settings_(MakeSettings(number)),
+test_entry::test_entry(test_store& store,
+                       std::uint8_t number,
+                       peer_fetches fetches)
+    : settings_(MakeSettings(number, fetches)),
       client_(loop_, store),
       synchronizer_(loop_,
                     settings_,
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,6 +24,7 @@
 class test_store {
  public:
   struct content {
+    std::uint64_t epoch = 1;
     std::uint64_t revision = 1;
     std::shared_ptr<const fleet_configuration> configuration;
     std::map<std::string, fleet_target> targets;
@@ -44,12 +46,14 @@
   /// Goes on from an earlier copy, in a new epoch.
   void Restore(const content& copy);
 
-  fleet_read_result ReadAll() const;
-  fleet_read_result ReadChanges(const source_revision& after) const;
+  /// @param content content of a store.
+  /// @param after revision from which the changes are read; unset for all.
+  /// @return the result of the read.
+  static fleet_read_result Read(const content& content,
+                                const source_revision& after);
 
  private:
   mutable std::mutex mutex_;
-  std::uint64_t epoch_ = 1;
   content content_;
 };
 
@@ -64,10 +68,20 @@
   test_store_client(event_loop& loop, test_store& store)
       : loop_(loop), store_(store) {}
 
-  /// @param reachable whether reads reach the store; may be called on any
-  ///     thread.
+  // These methods may be called on any thread.
+
+  /// @param reachable whether reads reach the store.
   void SetReachable(bool reachable) { reachable_ = reachable; }
 
+  /// @param delay time for which replies are held back.
+  void SetReplyDelay(std::chrono::milliseconds delay) { reply_delay_ = delay; }
+
+  /// Answers all further reads from an earlier copy, as a lagging replica does.
+  void LagBehind(const test_store::content& copy);
+
+  /// Answers further reads from the store again.
+  void CatchUp();
+
   void ReadAll(read_callback callback) override;
   void ReadChanges(const source_revision& after,
                    read_callback callback) override;
@@ -76,17 +90,29 @@
       const source_revision& revision) const override;
 
  private:
+  void Read(const source_revision& after, read_callback callback);
+
   event_loop& loop_;
   test_store& store_;
   std::atomic<bool> reachable_{true};
+  std::atomic<std::chrono::milliseconds> reply_delay_{};
+  std::mutex mutex_;
+  std::optional<test_store::content> lagging_copy_;
 };
 
 /// An entry's synchronizer with a thread of its own.
 class test_entry {
  public:
+  /// Whether an entry can fetch states from its peers; it receives their
+  /// updates either way.
+  enum class peer_fetches : std::uint8_t { served, unanswered };
+
   /// @param store the store that it reads.
   /// @param number last byte of its loopback address; entries 1 to 3 are seeds.
-  test_entry(test_store& store, std::uint8_t number);
+  /// @param fetches whether its fetches from peers are answered.
+  test_entry(test_store& store,
+             std::uint8_t number,
+             peer_fetches fetches = peer_fetches::served);
   ~test_entry();
   test_entry(const test_entry&) = delete;
   test_entry& operator=(const test_entry&) = delete;
@@ -104,8 +130,8 @@
   /// Applies the settings again, as after a reload.
   void ReloadSettings();
 
-  /// @param reachable whether the entry's reads reach the store.
-  void SetStoreReachable(bool reachable) { client_.SetReachable(reachable); }
+  /// @return the entry's access to the store.
+  test_store_client& Client() { return client_; }
 
   /// @return the latest snapshot; null before the first one.
   std::shared_ptr<const fleet_snapshot> Snapshot() const;
