Ignore a restored store's row of a removed target unless it is a later report

What callers would see: after the store has come back from a copy, a target that had ended and was removed gets new flows again, for up to three heartbeats.

Cause: a row of the copy was ignored only if its report is older than the known one. A target that ended shortly after the copy was made is listed there by its last report, which is the known one, so the row counted and undid the removal. Entries other than the reader know an even older report, since heartbeats are not broadcast, so for them every row of the copy counted.

Change: in the grace period a removed target counts again only by a later report. The broadcast of a removal carries the number of the last report to the others. A target that was removed while it ran writes again within a heartbeat and is listed by that, at the latest by the list after the period.

--- a/Source/core/fleet.h
+++ b/Source/core/fleet.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -55,17 +57,16 @@
     return state == target_state::ready && (!removed || now < may_return_until);
   }
 
-  /// Compares what the target has published, regardless of revisions.
+  /// Compares when the target published two of its rows, regardless of
+  /// revisions.
   /// @param other another row of the same target.
-  /// @return whether the target published this row before the other one; false
-  ///     if either does not say.
-  bool IsOlderReportThan(const fleet_target& other) const {
+  /// @return the order of publication; unordered if either row does not say.
+  std::partial_ordering CompareReports(const fleet_target& other) const {
     if (report_number == 0 || other.report_number == 0) {
-      return false;
+      return std::partial_ordering::unordered;
     }
-    return target_start_ms != other.target_start_ms
-               ? target_start_ms < other.target_start_ms
-               : report_number < other.report_number;
+    return std::tie(target_start_ms, report_number) <=>
+           std::tie(other.target_start_ms, other.report_number);
   }
 };
 
--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -35,6 +35,13 @@
          left.removed == right.removed;
 }
 
+/// Returns whether the target published the row of a restored source before it
+/// got into the known state. A removed target that runs publishes a later one.
+bool IsOutdatedReport(const fleet_target& row, const fleet_target& known) {
+  const std::partial_ordering order = row.CompareReports(known);
+  return order < 0 || (known.removed && order == 0);
+}
+
 /// Age of a part that must not confirm the state.
 constexpr milliseconds kNonConfirmingAge = 1h;
 
@@ -96,11 +103,15 @@
     return;
   }
   if (order == row_order::by_report &&
-      row.revision.epoch > item.revision.epoch && row.IsOlderReportThan(item)) {
+      row.revision.epoch > item.revision.epoch && IsOutdatedReport(row, item)) {
     has_ignored_rows_ = true;
     return;
   }
   if (row.removed) {
+    if (item.CompareReports(row) < 0) {
+      // Heartbeats are not broadcast: only the reader knows the last report.
+      item.report_number = row.report_number;
+    }
     MarkRemoved(now, item, row.revision);
     item.may_return_until =
         std::max(item.may_return_until, row.may_return_until);
--- a/Tests/core/restored_source_test.cc
+++ b/Tests/core/restored_source_test.cc
@@ -108,6 +108,56 @@
   CHECK(TargetOf(later).removed);
 }
 
+// Guards against new flows for a target that had ended: the copy was made after
+// its last report and before its removal.
+TEST_CASE("a list of a restored source does not return a removed target") {
+  fleet_state state(fleet_state_limits(), /*first_start=*/true);
+  state.ApplyList(kStart, kStart, {20, 1},
+                  {Report(6, target_state::ready, {18, 1})});
+  state.ApplyList(kStart + 700ms, kStart + 700ms, {21, 1}, {});
+  REQUIRE_FALSE(AcceptsNewFlows(state, kRestored));
+  const fleet_target last_report = Report(6, target_state::ready, {18, 2});
+  state.ApplyList(kRestored, kRestored, {20, 2}, {last_report});
+  CHECK_FALSE(AcceptsNewFlows(state, kRestored));
+  SUBCASE("it was silent and writes again") {
+    state.ApplyChanges(kRestored + 1s, kRestored + 1s, {21, 2},
+                       {Report(7, target_state::ready, {21, 2})});
+    CHECK(AcceptsNewFlows(state, kRestored + 1s));
+  }
+  SUBCASE("it is still listed when all targets had time to write again") {
+    const time_point settled_at = kRestored + 5s;
+    REQUIRE(state.NeedsList(settled_at));
+    state.ApplyList(settled_at, settled_at, {21, 2}, {last_report});
+    CHECK(AcceptsNewFlows(state, settled_at));
+  }
+}
+
+// Guards against new flows for an ended target through an entry that was not
+// the reader when the target ended, and so has not seen its last report.
+TEST_CASE(
+    "the entry that reads the copy knows a removed target's last report") {
+  fleet_state reader(fleet_state_limits(), /*first_start=*/true);
+  fleet_state successor(fleet_state_limits(), /*first_start=*/true);
+  reader.ApplyList(kStart, kStart, {20, 1},
+                   {Report(6, target_state::ready, {18, 1})});
+  successor.ApplyUpdate(kStart, reader.UpdateSince(kStart, {}));
+  const auto pass_on_changes = [&](std::uint64_t number,
+                                   const fleet_target& row) {
+    const source_revision base = reader.Revision();
+    const time_point now = kStart + std::chrono::milliseconds(number);
+    reader.ApplyChanges(now, now, {number, 1}, {row});
+    REQUIRE(successor.ApplyUpdate(now, reader.UpdateSince(now, base)) ==
+            update_result::applied);
+  };
+  pass_on_changes(21, Report(9, target_state::ready, {21, 1}));
+  fleet_target ended = Report(0, target_state::ready, {22, 1});
+  ended.removed = true;
+  pass_on_changes(22, ended);
+  successor.ApplyList(kRestored, kRestored, {21, 2},
+                      {Report(9, target_state::ready, {21, 2})});
+  CHECK_FALSE(AcceptsNewFlows(successor, kRestored));
+}
+
 // Guards against an older version that replaces a newer one until the operator
 // has written again.
 TEST_CASE("a configuration of the copy does not replace a later version") {
