--- a/Tests/core/flow_census_test.cc
+++ b/Tests/core/flow_census_test.cc
@@ -217,6 +217,15 @@
   CHECK(fleet.CensusCount() == 0);
 }
 
+// Guards against clients that wait for their reset although every machine has
+// denied the flow, since the search waits for capacity that it does not need.
+TEST_CASE("a search that every machine has denied ends without capacity") {
+  constexpr std::uint64_t kExhaustedByOneSearch = 200;
+  simulated_fleet fleet(true, 3, kExhaustedByOneSearch);
+  fleet.Run(1, 100ms, 1ms);
+  CHECK(fleet.ResetCount() == 1);
+}
+
 TEST_CASE("a flow list is used only for its round, and once for each agent") {
   flow_census census;
   census.Begin(kStart, 2);
