Name only failed cases in the mutation report

Cases that print a message have the same heading as failed ones, so the report named up to nine cases for each mutation that had not failed.

--- a/Utilities/mutations.py
+++ b/Utilities/mutations.py
@@ -78,8 +78,10 @@
 def run_tests(build):
     result = subprocess.run([f"{build}/Tests/core_test"], capture_output=True, text=True, timeout=600,
                             cwd=f"{build}/Tests")
-    failed = re.findall(r"TEST CASE: +(.+)", result.stdout)
-    return result.returncode, sorted(set(failed))
+    # Cases that only print a message have the same heading as failed ones.
+    cases = re.split(r"TEST CASE: +", result.stdout)[1:]
+    failed = {case.splitlines()[0] for case in cases if "ERROR:" in case}
+    return result.returncode, sorted(failed)
 
 
 def main():
