--- a/Source/packet/fleet_source.h
+++ b/Source/packet/fleet_source.h
@@ -26,7 +26,7 @@
   read_status status = read_status::unreachable;
   /// Revision up to which `targets` is complete.
   source_revision revision;
-  /// All targets, or the changed ones; of the latter, those with `gone` have
+  /// All targets, or the changed ones; of the latter, those with `removed` have
   /// been removed.
   std::vector<fleet_target> targets;
   /// Latest configuration in the result; null if it contains none.
