--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -35,8 +35,8 @@
          left.removed == right.removed;
 }
 
-/// Returns whether the target published the row of a restored source before it
-/// got into the known state. A removed target that runs publishes a later one.
+/// Returns whether the target published the row before what is known of it. A
+/// removed target that runs publishes a later row.
 bool IsOutdatedReport(const fleet_target& row, const fleet_target& known) {
   const std::partial_ordering order = row.CompareReports(known);
   return order < 0 || (known.removed && order == 0);
