Make a late reply arrive after the restoration is known

The case of a late reply could hardly fail: the reply usually arrived while the entry was still in the lost history, where it is an ordinary one. Now a peer reads the restored store while the reply is held back, and the test requires that the reply is dropped and counted; the one of stale reads requires the same. The other cases are unchanged. No source changes.

--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -89,6 +89,7 @@
   REQUIRE(WaitUntil([&] { return entry.Version() == 7; }, 3s));
   entry.Client().LagBehind(stale);
   CHECK_FALSE(WaitUntil([&] { return entry.GivesNewFlowsTo("a"); }, 1500ms));
+  CHECK(entry.OutdatedReads() > 0);
   entry.Client().CatchUp();
   store.PutConfiguration(8);
   CHECK(WaitUntil([&] { return entry.Version() == 8; }, kPropagationLimit));
@@ -96,6 +97,37 @@
   CHECK_FALSE(entry.GivesNewFlowsTo("a"));
 }
 
+// Guards against a reply of the lost history that arrives after a peer has
+// reported the restoration, and confirms the state or sets it back.
+TEST_CASE("a late reply of a lost history is dropped") {
+  test_store store;
+  store.PutConfiguration(5);
+  store.PutTarget("a", 3, target_state::ready);
+  test_entry first(store, 1);
+  test_entry second(store, 2);
+  REQUIRE(WaitUntil(
+      [&] {
+        return first.GivesNewFlowsTo("a") && second.Version() == 5 &&
+               second.Snapshot()->entries == 2;
+      },
+      3s));
+  std::this_thread::sleep_for(kSettlingTime);
+  const test_store::content copy = store.Copy();
+  first.Client().SetReplyDelay(600ms);
+  REQUIRE(WaitUntil([&] { return !first.Client().HasPendingReply(); }, 3s));
+  REQUIRE(WaitUntil([&] { return first.Client().HasPendingReply(); }, 3s));
+  store.Restore(copy);
+  store.PutConfiguration(7);
+  store.PutTarget("a", 4, target_state::draining);
+  second.RequestConfirmation();
+  CHECK(WaitUntil([&] { return first.OutdatedReads() > 0; }, 1500ms));
+  first.Client().SetReplyDelay(0ms);
+  CHECK(WaitUntil(
+      [&] { return first.Version() == 7 && !first.GivesNewFlowsTo("a"); },
+      kPropagationLimit));
+  CHECK_FALSE(first.HasGoneBack());
+}
+
 // Guards against a configuration or a target that is set back to the content of
 // the copy, or later changes that are missed, whatever happens to the entries
 // while the store is restored.
@@ -123,10 +155,6 @@
   const test_store::content lost = store.Copy();
   std::unique_ptr<test_entry> started;
   bool first_runs = true;
-  SUBCASE("replies of the lost history arrive late") {
-    first.Client().SetReplyDelay(600ms);
-    std::this_thread::sleep_for(700ms);
-  }
   store.Restore(copy);
   SUBCASE("all entries go on") {}
   SUBCASE("the settings are reloaded") {
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -136,8 +136,12 @@
     result =
         test_store::Read(lagging_copy_ ? *lagging_copy_ : store_.Copy(), after);
   }
-  loop_.After(reply_delay_, [callback = std::move(callback),
-                             result = std::move(result)] { callback(result); });
+  has_pending_reply_ = true;
+  loop_.After(reply_delay_, [this, callback = std::move(callback),
+                             result = std::move(result)] {
+    has_pending_reply_ = false;
+    callback(result);
+  });
 }
 
 std::shared_ptr<const fleet_configuration>
@@ -191,6 +195,10 @@
   loop_.Post([this] { synchronizer_.SetSeeds(settings_.seeds); });
 }
 
+void test_entry::RequestConfirmation() {
+  loop_.Post([this] { synchronizer_.RequestConfirmation(); });
+}
+
 bool test_entry::GivesNewFlowsTo(const std::string& name) const {
   const auto snapshot = Snapshot();
   const time_point now = ClockWithSleep();
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -76,6 +76,9 @@
   /// @param delay time for which replies are held back.
   void SetReplyDelay(std::chrono::milliseconds delay) { reply_delay_ = delay; }
 
+  /// @return whether a reply is held back now.
+  bool HasPendingReply() const { return has_pending_reply_; }
+
   /// Answers all further reads from an earlier copy, as a lagging replica does.
   void LagBehind(const test_store::content& copy);
 
@@ -96,6 +99,7 @@
   test_store& store_;
   std::atomic<bool> reachable_{true};
   std::atomic<std::chrono::milliseconds> reply_delay_{};
+  std::atomic<bool> has_pending_reply_{false};
   std::mutex mutex_;
   std::optional<test_store::content> lagging_copy_;
 };
@@ -130,6 +134,14 @@
   /// Applies the settings again, as after a reload.
   void ReloadSettings();
 
+  /// Makes the entry read the store, unless a peer does so first.
+  void RequestConfirmation();
+
+  /// @return how many reads the entry has dropped as outdated.
+  std::uint64_t OutdatedReads() const {
+    return counters_.Get(result_code::outdated_read);
+  }
+
   /// @return the entry's access to the store.
   test_store_client& Client() { return client_; }
 
