--- a/review/standins/ends.cc
+++ b/review/standins/ends.cc
@@ -323,10 +323,13 @@
 std::uint32_t routers::Select(const endpoint& client,
                               const endpoint& service) const {
   const std::vector<std::uint32_t> nodes = InRotation();
-  std::uint32_t hash = client.ip * 2654435761U;
-  hash = (hash ^ client.port) * 2654435761U;
-  hash = (hash ^ service.ip) * 2654435761U;
-  hash = (hash ^ service.port) * 2654435761U;
+  std::uint64_t hash = 0;
+  for (const std::uint64_t part :
+       {client.ip, std::uint32_t{client.port}, service.ip,
+        std::uint32_t{service.port}}) {
+    hash = (hash ^ part) * 0x9e3779b97f4a7c15ULL;
+    hash ^= hash >> 29;
+  }
   return nodes[(hash >> 8) % nodes.size()];
 }
 
--- a/review/standins/store.cc
+++ b/review/standins/store.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kMaxItems = 500;
 constexpr std::size_t kMaxPageBytes = 1000000;
 constexpr millis kDripPeriod{2};
+// Larger answers are recorded.
+constexpr std::size_t kLargeAnswer = 1000000;
 
 std::string Base64(const std::string& bytes) {
   static const char* digits =
@@ -63,6 +65,12 @@
   std::string input, output;
   std::size_t sent = 0;
   bool dripping = false;
+  // When the answer that is being sent was begun.
+  steady::time_point began;
+  double Milliseconds() const {
+    return std::chrono::duration<double, std::milli>(steady::now() - began)
+        .count();
+  }
 };
 
 store::store(world& shared) : world_(shared) {
@@ -137,6 +145,11 @@
   char buffer[4096];
   const ssize_t size = ::recv(from->descriptor, buffer, sizeof(buffer), 0);
   if (size == 0 || (size < 0 && errno != EAGAIN)) {
+    if (from->output.size() > kLargeAnswer) {
+      world_.log->Line("a caller closes its connection to the store after %zu "
+                       "of %zu bytes, %.0f ms after the answer began",
+                       from->sent, from->output.size(), from->Milliseconds());
+    }
     world_.loop.Unwatch(from->descriptor);
     ::close(from->descriptor);
     from->descriptor = -1;
@@ -228,24 +241,33 @@
                 std::to_string(body.size()) + "\r\n\r\n" + body;
   if (!to->dripping) {
     to->dripping = true;
+    to->began = steady::now();
     Drip(to);
   }
 }
 
-// Writes what the link can carry in one period.
+// Writes what the link could carry until now.
 void store::Drip(const std::shared_ptr<connection>& to) {
   if (to->descriptor < 0) {
     return;
   }
   std::size_t budget = to->output.size() - to->sent;
   if (rate_ != 0) {
-    budget = std::min<std::size_t>(
-        budget, rate_ * static_cast<std::uint64_t>(kDripPeriod.count()) / 1000);
+    const double seconds =
+        std::chrono::duration<double>(steady::now() - to->began + kDripPeriod)
+            .count();
+    const auto carried =
+        static_cast<std::size_t>(seconds * static_cast<double>(rate_));
+    budget = std::min(budget, carried - std::min(carried, to->sent));
   }
   const ssize_t size = ::send(to->descriptor, to->output.data() + to->sent,
                               budget, MSG_NOSIGNAL);
   to->sent += size > 0 ? static_cast<std::size_t>(size) : 0;
   if (to->sent == to->output.size()) {
+    if (to->output.size() > kLargeAnswer) {
+      world_.log->Line("the store has sent an answer of %zu bytes in %.0f ms",
+                       to->output.size(), to->Milliseconds());
+    }
     to->output.clear();
     to->sent = 0;
     to->dripping = false;
