--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -15,7 +15,7 @@
 constexpr millis kConfigApply{5000};
 
 void AddIdleRoutes(configuration& config, int count) {
-  const std::uint32_t first = ParseIp("198.18.64.0");
+  const std::uint32_t first = ParseIp("127.250.64.0");
   for (int index = 0; index < count; ++index) {
     const auto number = static_cast<std::uint32_t>(config.routes.size());
     config.routes.push_back({"r-idle" + std::to_string(1000 + number),
@@ -32,7 +32,7 @@
   AddIdleRoutes(here.config, kUsualRoutes);
   here.Start(kLinkBytesPerSecond);
   event_loop& loop = here.shared.loop;
-  const std::uint32_t added_ip = ParseIp("198.18.0.9");
+  const std::uint32_t added_ip = ParseIp("127.250.0.9");
   int refused = 0, sent = 0;
   for (int growth = 0; growth < kGrowths; ++growth) {
     // Without the disruption, each version adds one route only.
--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -23,8 +23,8 @@
   shared.folder = folder;
   shared.Reserve();
   config.services = {"desk", "yard"};
-  desk_address = {ParseIp("198.18.0.1"), 8443};
-  yard_address = {ParseIp("198.18.0.2"), 8443};
+  desk_address = {ParseIp("127.250.0.1"), 8443};
+  yard_address = {ParseIp("127.250.0.2"), 8443};
   config.routes = {{"r-desk", desk_address, "desk", "safe"},
                    {"r-yard", yard_address, "yard", "unsafe"}};
 }
