Ignore rows of unknown services when targets end or drain

A complete entry of another writer whose service no configuration names hid the end of the target on its machine, so clients waited for their time limits, and kept the reader from telling a draining target's agent to refuse new flows.

Cause: fleet_index skipped such rows, but RecordTargetAbsence and the reader's drain notices looked at all rows of the machine.

Change: fleet_state::HasListedTarget decides for both, by the services of the configuration in force.

--- a/Source/core/fleet.h
+++ b/Source/core/fleet.h
@@ -2,6 +2,7 @@
 /// Configuration, targets and the snapshot of both that an entry works with.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -101,6 +102,14 @@
   std::chrono::milliseconds idle_timeout{0};
   /// Original text, which is sent to peers on request.
   std::string source;
+
+  /// @param service a service.
+  /// @return whether the version names it. Rows of other writers to the source
+  ///     may name services that do not exist.
+  bool HasService(service_id service) const {
+    return std::find(services.begin(), services.end(), service) !=
+           services.end();
+  }
 };
 
 /// One consistent, immutable state that the control thread passes to the
--- a/Source/core/fleet_index.cc
+++ b/Source/core/fleet_index.cc
@@ -15,15 +15,6 @@
   return left.revision > right.revision;
 }
 
-/// Rows of other writers to the store may name services that do not exist.
-bool IsConfigured(const fleet_snapshot& snapshot, service_id service) {
-  if (snapshot.configuration == nullptr) {
-    return true;
-  }
-  const auto& services = snapshot.configuration->services;
-  return std::find(services.begin(), services.end(), service) != services.end();
-}
-
 void AppendUnqueried(const std::vector<ranked_target>& ranked,
                      const std::vector<machine_address>& queried,
                      std::size_t count,
@@ -43,8 +34,9 @@
 fleet_index::fleet_index(std::shared_ptr<const fleet_snapshot> snapshot,
                          std::uint64_t own_failure_domain)
     : snapshot_(std::move(snapshot)), own_failure_domain_(own_failure_domain) {
+  const fleet_configuration* configuration = snapshot_->configuration.get();
   for (const fleet_target& item : snapshot_->targets) {
-    if (!IsConfigured(*snapshot_, item.service)) {
+    if (configuration != nullptr && !configuration->HasService(item.service)) {
       continue;
     }
     const fleet_target*& here = by_machine_[item.address.address];
--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -368,6 +368,17 @@
   changed_.push_back(id);
 }
 
+bool fleet_state::HasListedTarget(std::uint32_t machine,
+                                  target_id except) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+    const fleet_target& item = entry.second;
+    return !item.removed && item.address.address == machine &&
+           item.id != except &&
+           (configuration_ == nullptr ||
+            configuration_->HasService(item.service));
+  });
+}
+
 std::optional<ended_target> fleet_state::RecordTargetAbsence(
     time_point now,
     std::uint32_t machine) {
@@ -375,12 +386,9 @@
     early_absences_[machine] = now;
     return std::nullopt;
   }
-  const bool listed =
-      std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
-        return !entry.second.removed && entry.second.address.address == machine;
-      });
   const ended_target record{machine, revision_};
-  if (listed || !HasHolder(machine) || !ended_.Record(now, record)) {
+  if (HasListedTarget(machine) || !HasHolder(machine) ||
+      !ended_.Record(now, record)) {
     return std::nullopt;
   }
   return record;
--- a/Source/core/fleet_state.h
+++ b/Source/core/fleet_state.h
@@ -132,6 +132,12 @@
   /// @param agent machine and service of the agent.
   void RecordUnlistedAgent(time_point now, const present_agent& agent);
 
+  /// @param machine address of a machine.
+  /// @param except identifier of a target that does not count.
+  /// @return whether another target of a configured service is listed on the
+  ///     machine.
+  bool HasListedTarget(std::uint32_t machine, target_id except = {}) const;
+
   /// Records an agent's report that nothing listens at its target's address.
   /// The report is ignored while a target is listed on that machine, since that
   /// target may have started later. A target cannot be added and removed within
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -202,9 +202,8 @@
     result_counters.Add(result_code::unreadable_entry, entries.size());
     const std::size_t logged = std::min(entries.size(), kMaxLoggedEntries);
     for (std::size_t index = 0; index < logged; ++index) {
-      LogEvent(
-          log_level::warning, "entry_unusable",
-          {{"key", entries[index].key}, {"error", entries[index].error}});
+      LogEvent(log_level::warning, "entry_unusable",
+               {{"key", entries[index].key}, {"error", entries[index].error}});
     }
   }
 
@@ -295,23 +294,14 @@
     mesh_message message;
     message.kind = mesh_kind::drain;
     for (const auto& [id, target] : fleet.Targets()) {
-      if (!target.AcceptsNewFlows(now) && !IsListedAgain(target)) {
+      if (!target.AcceptsNewFlows(now) &&
+          !fleet.HasListedTarget(target.address.address, id)) {
         peers.Send({target.address.address, settings.delivery_port}, message);
       }
     }
     peers.Flush();
   }
 
-  // Returns whether another target is listed on the removed target's machine.
-  bool IsListedAgain(const fleet_target& removed_target) const {
-    return std::any_of(
-        fleet.Targets().begin(), fleet.Targets().end(), [&](const auto& entry) {
-          const fleet_target& target = entry.second;
-          return !target.removed && target.id != removed_target.id &&
-                 target.address.address == removed_target.address.address;
-        });
-  }
-
   void SendHello() {
     mesh_message message;
     message.kind = mesh_kind::hello;
--- a/Tests/core/ended_targets_test.cc
+++ b/Tests/core/ended_targets_test.cc
@@ -71,6 +71,47 @@
   CHECK(state.RecordTargetAbsence(kStart + 1s, kMachine));
 }
 
+std::shared_ptr<const fleet_configuration> ConfigurationOf(service_id service) {
+  auto configuration = std::make_shared<fleet_configuration>();
+  configuration->version = 1;
+  configuration->services = {service};
+  return configuration;
+}
+
+// Guards against a row of another writer that hides the end of the machine's
+// target, so that its clients wait for their time limits.
+TEST_CASE("a row of an unknown service does not hide an absent target") {
+  fleet_state state(fleet_state_limits(), /*first_start=*/false);
+  fleet_target unknown = Row(2, 41);
+  unknown.service = kOtherService;
+  state.ApplyConfiguration(ConfigurationOf(kService));
+  state.ApplyList(kStart, kStart, 50, {Row(1, 40), unknown});
+  CHECK_FALSE(state.RecordTargetAbsence(kStart, kMachine));
+  state.ApplyChanges(kStart + 1s, kStart + 1s, 60, {Row(1, 55, true)});
+  CHECK(state.RecordTargetAbsence(kStart + 1s, kMachine));
+}
+
+// Guards against a row of another writer that makes the reader stop telling the
+// agent of a draining target to refuse new flows.
+TEST_CASE("a row of an unknown service does not replace a draining target") {
+  fleet_state state(fleet_state_limits(), /*first_start=*/false);
+  fleet_target draining = Row(1, 40);
+  draining.state = target_state::draining;
+  fleet_target other = Row(2, 41);
+  other.service = kOtherService;
+  state.ApplyConfiguration(ConfigurationOf(kService));
+  state.ApplyList(kStart, kStart, 50, {draining, other});
+  CHECK_FALSE(state.HasListedTarget(kMachine, draining.id));
+  CHECK(state.HasListedTarget(kMachine));
+  // Once a version names the service, the row is a target.
+  auto extended =
+      std::make_shared<fleet_configuration>(*ConfigurationOf(kService));
+  extended->version = 2;
+  extended->services.push_back(kOtherService);
+  state.ApplyConfiguration(extended);
+  CHECK(state.HasListedTarget(kMachine, draining.id));
+}
+
 TEST_CASE("an absence reported before the first list is applied to the list") {
   for (const auto delay : {400ms, 1600ms}) {
     fleet_state seed(fleet_state_limits(), /*first_start=*/false);
