Limit large transfers by progress, not by total duration

Cause: a read of the store had 900 ms and a fetch from a peer 800 ms for the complete response, which takes 1.1 s and 0.83 s on such a link. Each attempt started from the beginning, so none succeeded.

Change: http_client's timeout restarts with each part of the response if the request has a transfer limit, which bounds the whole (5 s). Other requests keep their total timeout.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -43,6 +44,7 @@
         : owner(std::move(owner)),
           id(id),
           timeout(request.timeout),
+          transfer_limit(request.transfer_limit),
           callback(std::move(callback)) {
       const auto verb = http::string_to_verb(request.method);
       message.method(verb);
@@ -101,14 +103,32 @@
     }
 
     void Read() {
-      http::async_read(
+      http::async_read_some(
           *stream, buffer, parser,
           [self = shared_from_this()](auto error, std::size_t /*bytes*/) {
-            self->Finish(error ? client_status::lost
-                               : client_status::completed);
+            if (error) {
+              self->Finish(client_status::lost);
+            } else if (self->parser.is_done()) {
+              self->Finish(client_status::completed);
+            } else {
+              self->ExtendDeadline();
+              self->Read();
+            }
           });
     }
 
+    // Called for each part of the response that arrives.
+    void ExtendDeadline() {
+      if (transfer_limit == std::chrono::milliseconds(0)) {
+        return;
+      }
+      const auto now = std::chrono::steady_clock::now();
+      if (!transfer_ends_at) {
+        transfer_ends_at = now + transfer_limit;
+      }
+      stream->expires_at(std::min(now + timeout, *transfer_ends_at));
+    }
+
     void Finish(client_status status) {
       client_result result;
       result.status = status;
@@ -134,6 +154,8 @@
     std::shared_ptr<state> owner;
     std::uint64_t id;
     std::chrono::milliseconds timeout;
+    std::chrono::milliseconds transfer_limit;
+    std::optional<std::chrono::steady_clock::time_point> transfer_ends_at;
     client_callback callback;
     std::unique_ptr<beast::tcp_stream> stream;
     http::request<http::string_body> message;
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -20,7 +20,12 @@
   std::string target = "/";
   std::map<std::string, std::string> headers;
   std::string body;
+  /// Limit for the whole exchange; with a transfer limit, for each part of it
+  /// during which no byte arrives.
   std::chrono::milliseconds timeout{1000};
+  /// Limit for the response as a whole, whose parts may then arrive for longer
+  /// than `timeout`; 0 for none.
+  std::chrono::milliseconds transfer_limit{0};
 };
 
 /// How far a request got.
--- a/Source/packet/fleet_update_fetcher.cc
+++ b/Source/packet/fleet_update_fetcher.cc
@@ -12,7 +12,10 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
+/// Time without a byte of the response after which a fetch is aborted.
 constexpr milliseconds kFetchTimeout = 800ms;
+/// Limit for a response as a whole.
+constexpr milliseconds kTransferLimit = 5000ms;
 /// Delay of a fetch from a relay, which gives the relay time to complete its
 /// own fetch.
 constexpr milliseconds kRelayFetchDelay = 300ms;
@@ -41,6 +44,7 @@
   client_request request;
   request.target = "/belief";
   request.timeout = kFetchTimeout;
+  request.transfer_limit = kTransferLimit;
   const time_point started_at = ClockWithSleep();
   client->Send(request, [this, started_at](const client_result& result) {
     fetching_ = false;
--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -15,6 +15,7 @@
 #include "net/http_server.h"
 #include "net/listen_probe.h"
 #include "net/udp_socket.h"
+#include "paced_server.h"
 
 namespace corianderplank {
 namespace {
@@ -223,6 +224,56 @@
   CHECK(results["cancelled"].status == client_status::lost);
 }
 
+/// @return the result of a request to a server with the given pace.
+client_result RequestAtPace(std::uint8_t last,
+                            const response_pace& pace,
+                            const client_request& request) {
+  event_loop loop;
+  const paced_server server(loop, ServerAddress(last), std::string(100000, 'x'),
+                            pace);
+  http_client client(loop, ServerAddress(last));
+  client_result received;
+  client.Send(request, [&](client_result result) {
+    received = std::move(result);
+    loop.Stop();
+  });
+  RunWithLimit(loop);
+  return received;
+}
+
+// Guards against large responses that never arrive over a slow link, since each
+// attempt is aborted although bytes keep arriving.
+TEST_CASE("a response that keeps arriving outlasts the timeout") {
+  client_request request;
+  request.timeout = 500ms;
+  request.transfer_limit = 8000ms;
+  const client_result result =
+      RequestAtPace(11, {.part_bytes = 5000, .period = 50ms}, request);
+  REQUIRE(result.status == client_status::completed);
+  CHECK(result.body.size() == 100000);
+}
+
+TEST_CASE("a response that stalls or exceeds the transfer limit is lost") {
+  client_request request;
+  request.timeout = 300ms;
+  request.transfer_limit = 8000ms;
+  response_pace stalls{.part_bytes = 5000, .period = 10ms};
+  stalls.stalls_after = 50000;
+  CHECK(RequestAtPace(12, stalls, request).status == client_status::lost);
+  request.transfer_limit = 600ms;
+  const response_pace slow{.part_bytes = 5000, .period = 100ms};
+  CHECK(RequestAtPace(13, slow, request).status == client_status::lost);
+}
+
+// Guards against a limit for the exchange that parts of the response extend.
+TEST_CASE("without a transfer limit the timeout covers the whole response") {
+  client_request request;
+  request.timeout = 500ms;
+  CHECK(
+      RequestAtPace(14, {.part_bytes = 5000, .period = 50ms}, request).status ==
+      client_status::lost);
+}
+
 TEST_CASE("a kept connection that the server closed is not used") {
   event_loop loop;
   auto server = std::make_unique<http_server>(
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -8,11 +8,14 @@
 
 #include "net/http_server.h"
 #include "net/sleep_clock.h"
+#include "paced_server.h"
 #include "platform/store_client.h"
 
 namespace corianderplank::platform {
 namespace {
 
+using namespace std::chrono_literals;
+
 const endpoint kStore = ParseEndpoint("127.0.0.1:28741");
 
 /// Answer of the store stand-in to a request.
@@ -79,6 +82,34 @@
   }
 }
 
+/// @return the result of reading changes whose answer comes at a pace.
+fleet_read_result ReadAtPace(const std::string& body,
+                             const response_pace& pace) {
+  event_loop loop;
+  const paced_server server(loop, kStore, body, pace);
+  store_client client(loop, kStore, ClockWithSleep);
+  fleet_read_result received;
+  client.ReadChanges(12, [&](const fleet_read_result& result) {
+    received = result;
+    loop.Stop();
+  });
+  loop.Run();
+  return received;
+}
+
+// Guards against a configuration that is never in force on entries with slow
+// links, since each read is aborted before its text has arrived.
+TEST_CASE("an answer that crosses a slow link for seconds is read") {
+  const std::string body = R"({"events":[{"Key":"other","Value":")" +
+                           std::string(400000, 'A') +
+                           R"(","Revision":13}],"AtRev":15})";
+  const response_pace slow{.part_bytes = 10000, .period = 50ms};
+  CHECK(ReadAtPace(body, slow).status == read_status::complete);
+  response_pace stalls = slow;
+  stalls.stalls_after = 200000;
+  CHECK(ReadAtPace(body, stalls).status == read_status::unreachable);
+}
+
 // Guards against a list that mixes the content from before and after a
 // restoration.
 TEST_CASE("pages of two epochs make no list") {
