--- a/Tests/platform/store_page_test.cc
+++ b/Tests/platform/store_page_test.cc
@@ -4,7 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -232,6 +235,43 @@
   CHECK(UsableTargets({Item("servers/x", extended.dump(), 400)}) == 1);
 }
 
+/// @param piece text that is repeated up to the size of the largest value.
+std::string Repeated(const std::string& prefix, const std::string& piece) {
+  constexpr std::size_t kMaxValueBytes = 1048576;
+  std::string text = prefix;
+  while (text.size() + piece.size() <= kMaxValueBytes) {
+    text += piece;
+  }
+  return text;
+}
+
+/// @return the largest resident memory of this process so far, in KiB.
+std::int64_t PeakMemoryKb() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
+// Guards against the end of an entry's process, which has 64 MB on the smallest
+// machines, by one entry of another writer.
+TEST_CASE("entries of any structure take little memory and hide no target") {
+  constexpr std::int64_t kMaxGrowthKb = 32 * 1024;
+  const std::vector<std::string> texts = {
+      Repeated("", "["),       Repeated("{\"a\":", "["),
+      Repeated("", "{\"a\":"), Repeated("[", "[],"),
+      Repeated("[", "[0],"),   Repeated("[", "{},"),
+      Repeated("[", "\"a\","), Repeated("{\"Service\":", "[\"State\",")};
+  const std::int64_t before = PeakMemoryKb();
+  for (const std::string& text : texts) {
+    CAPTURE(text.substr(0, 16));
+    CHECK(UsableTargets({Item("servers/a", Target().dump(), 400),
+                         Item("servers/odd", text, 401),
+                         Item("servers/z", Target().dump(), 402)}) == 2);
+    CHECK(ParseConfigurationText(text, 1) == nullptr);
+  }
+  CHECK(PeakMemoryKb() - before < kMaxGrowthKb);
+}
+
 TEST_CASE("a configuration") {
   const auto page =
       ParsePage(Page({Item("op/config", kConfiguration, 20)}, 21), 0, kNow);
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -2,7 +2,8 @@
 # Installs what the build and the tests need, unless it is there already.
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config python3 clang-format clang-tidy
-  libboost1.81-dev libboost-log1.81-dev libboost-thread1.81-dev libnng-dev
+  libboost1.81-dev libboost-json1.81-dev libboost-log1.81-dev
+  libboost-thread1.81-dev libnng-dev
   libcxxopts-dev libtomlplusplus-dev libsodium-dev libxxhash-dev
   nlohmann-json3-dev doctest-dev librapidcheck-dev libbenchmark-dev
   libflatbuffers-dev)
