Send large configurations to peers compressed

Cause: the reader sent the complete text, 1 MB, to up to 16 peers, over a link of 10 Mbit/s if need be, and those that waited for longer than a second read the store themselves.

The size is announced and limited to 4 MB. Older builds get the plain text as before.

"a large configuration is compressed for peers that can read it" covers both kinds of peers; it fails without the change, as the body is then of full size.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -772,7 +772,9 @@
     VT_EPOCH = 28,
     VT_CONFIGURATION_EPOCH = 30,
     VT_UNSETTLED = 32,
-    VT_IGNORED_ROWS = 34
+    VT_IGNORED_ROWS = 34,
+    VT_COMPRESSED_CONFIGURATION = 36,
+    VT_CONFIGURATION_BYTES = 38
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -822,6 +824,12 @@
   bool ignored_rows() const {
     return GetField<uint8_t>(VT_IGNORED_ROWS, 0) != 0;
   }
+  const flatbuffers::Vector<uint8_t> *compressed_configuration() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMPRESSED_CONFIGURATION);
+  }
+  uint32_t configuration_bytes() const {
+    return GetField<uint32_t>(VT_CONFIGURATION_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -844,6 +852,9 @@
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_UNSETTLED, 1) &&
            VerifyField<uint8_t>(verifier, VT_IGNORED_ROWS, 1) &&
+           VerifyOffset(verifier, VT_COMPRESSED_CONFIGURATION) &&
+           verifier.VerifyVector(compressed_configuration()) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIGURATION_BYTES, 4) &&
            verifier.EndTable();
   }
 };
@@ -900,6 +911,12 @@
   void add_ignored_rows(bool ignored_rows) {
     fbb_.AddElement<uint8_t>(Belief::VT_IGNORED_ROWS, static_cast<uint8_t>(ignored_rows), 0);
   }
+  void add_compressed_configuration(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed_configuration) {
+    fbb_.AddOffset(Belief::VT_COMPRESSED_CONFIGURATION, compressed_configuration);
+  }
+  void add_configuration_bytes(uint32_t configuration_bytes) {
+    fbb_.AddElement<uint32_t>(Belief::VT_CONFIGURATION_BYTES, configuration_bytes, 0);
+  }
   explicit BeliefBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -928,7 +945,9 @@
     uint64_t epoch = 0,
     uint64_t configuration_epoch = 0,
     bool unsettled = false,
-    bool ignored_rows = false) {
+    bool ignored_rows = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed_configuration = 0,
+    uint32_t configuration_bytes = 0) {
   BeliefBuilder builder_(_fbb);
   builder_.add_configuration_epoch(configuration_epoch);
   builder_.add_epoch(epoch);
@@ -937,6 +956,8 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_revision(revision);
   builder_.add_base_revision(base_revision);
+  builder_.add_configuration_bytes(configuration_bytes);
+  builder_.add_compressed_configuration(compressed_configuration);
   builder_.add_ended(ended);
   builder_.add_reader(reader);
   builder_.add_targets(targets);
@@ -966,10 +987,13 @@
     uint64_t epoch = 0,
     uint64_t configuration_epoch = 0,
     bool unsettled = false,
-    bool ignored_rows = false) {
+    bool ignored_rows = false,
+    const std::vector<uint8_t> *compressed_configuration = nullptr,
+    uint32_t configuration_bytes = 0) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<corianderplank::schema::Target>>(*targets) : 0;
   auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
+  auto compressed_configuration__ = compressed_configuration ? _fbb.CreateVector<uint8_t>(*compressed_configuration) : 0;
   return corianderplank::schema::CreateBelief(
       _fbb,
       version,
@@ -987,7 +1011,9 @@
       epoch,
       configuration_epoch,
       unsettled,
-      ignored_rows);
+      ignored_rows,
+      compressed_configuration__,
+      configuration_bytes);
 }
 
 }  // namespace schema
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -139,6 +139,8 @@
   source_revision configuration_revision;
   /// Configuration text; empty if only its version is sent.
   std::string configuration;
+  /// The same text compressed; empty if it is not known in that form.
+  std::string compressed_configuration;
   /// Changed targets; `removed` marks those removed from the list.
   std::vector<fleet_target> targets;
   /// Ended targets; only in an update with the complete state.
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -15,6 +15,7 @@
 #include "packet/peer_messenger.h"
 #include "product/log.h"
 #include "wire/mesh_codec.h"
+#include "wire/text_compression.h"
 
 namespace corianderplank {
 namespace {
@@ -51,6 +52,8 @@
 /// Added to the age of a relayed update to cover its transit to the relay: a
 /// few one-way delays between failure domains.
 constexpr milliseconds kRelayDelayAllowance = 10ms;
+/// Smaller configurations take a few packets and are sent as they are.
+constexpr std::size_t kMinCompressedBytes = 16384;
 /// Unusable entries that are logged one line each for a read.
 constexpr std::size_t kMaxLoggedEntries = 4;
 /// A longer gap between two ticks means that the process was suspended.
@@ -551,6 +554,12 @@
         source.ParseConfiguration(update.configuration,
                                   update.configuration_revision),
         "peer");
+    if (!update.compressed_configuration.empty() &&
+        update.configuration_version == fleet.ConfigurationVersion()) {
+      // Spares this entry the compression when its peers ask in turn.
+      compressed_text = update.compressed_configuration;
+      compressed_version = update.configuration_version;
+    }
     fleet.ApplyUpdate(now, update);
     LogRestoration(previous);
     ProcessEarlyAbsences(now);
@@ -566,12 +575,28 @@
     } else {
       fleet_update update = fleet.UpdateSince(ClockWithSleep(), {});
       update.configuration = fleet.Configuration()->source;
+      // Builds that know only the plain text do not ask.
+      if (request.query.contains("compressed")) {
+        update.compressed_configuration = CompressedConfiguration();
+      }
       response.content_type = "application/octet-stream";
       response.body = EncodeFleetUpdate(update, ClockWithSleep());
     }
     responder.Respond(std::move(response));
   }
 
+  // Returns the text of the current configuration, compressed; empty if it is
+  // too small to be worth it.
+  const std::string& CompressedConfiguration() {
+    if (compressed_version != fleet.ConfigurationVersion()) {
+      const std::string& text = fleet.Configuration()->source;
+      compressed_text = text.size() < kMinCompressedBytes ? std::string()
+                                                          : CompressText(text);
+      compressed_version = fleet.ConfigurationVersion();
+    }
+    return compressed_text;
+  }
+
   event_loop& loop;
   packet_settings settings;
   fleet_source& source;
@@ -585,6 +610,9 @@
   entry_membership members;
   agent_registry registry;
   std::vector<ended_target> pending_ended;
+  /// Text of the configuration `compressed_version` as it is sent to peers.
+  std::string compressed_text;
+  std::uint64_t compressed_version = 0;
   time_point last_tick_at{};
   time_point resumed_at{};
   time_point last_expiry_at{};
--- a/Source/packet/fleet_update_fetcher.cc
+++ b/Source/packet/fleet_update_fetcher.cc
@@ -42,7 +42,7 @@
     client = std::make_unique<http_client>(loop_, endpoint{peer, port_});
   }
   client_request request;
-  request.target = "/belief";
+  request.target = "/belief?compressed=1";
   request.timeout = kFetchTimeout;
   request.transfer_limit = kTransferLimit;
   const time_point started_at = ClockWithSleep();
--- a/Source/packet/fleet_update_fetcher.h
+++ b/Source/packet/fleet_update_fetcher.h
@@ -1,6 +1,6 @@
 /// @file
 /// Fetches the full fleet state of a peer, over TCP since a configuration may
-/// exceed a datagram.
+/// exceed a datagram, and compressed if the peer's build knows how to.
 #pragma once
 
 #include <functional>
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -6,6 +6,8 @@
 
 #include <mesh_generated.h>
 
+#include "wire/text_compression.h"
+
 namespace corianderplank {
 namespace {
 
@@ -17,6 +19,9 @@
 constexpr int kMaxTableDepth = 4;
 /// Bounds the verifier's work on a malicious fleet update.
 constexpr int kMaxTables = 100000;
+/// Bounds the memory of a malicious compressed text: four times the size of the
+/// store's largest values.
+constexpr std::uint32_t kMaxConfigurationBytes = 4 * 1024 * 1024;
 /// FlatBuffers reads fields in place at their alignment.
 constexpr std::size_t kAlignment = 8;
 
@@ -120,6 +125,13 @@
   return item;
 }
 
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> CreateBytes(
+    flatbuffers::FlatBufferBuilder& builder,
+    const std::string& bytes) {
+  return builder.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+}
+
 std::vector<schema::EndedTarget> ToSchema(
     const std::vector<ended_target>& ended) {
   std::vector<schema::EndedTarget> rows;
@@ -333,9 +345,11 @@
   }
   const auto targets = builder.CreateVector(rows);
   const auto ended = builder.CreateVectorOfStructs(ToSchema(update.ended));
-  const auto configuration = builder.CreateVector(
-      reinterpret_cast<const std::uint8_t*>(update.configuration.data()),
-      update.configuration.size());
+  // A receiver of the compressed text does not need the plain one.
+  const bool is_compressed = !update.compressed_configuration.empty();
+  const auto configuration = CreateBytes(
+      builder, is_compressed ? std::string() : update.configuration);
+  const auto compressed = CreateBytes(builder, update.compressed_configuration);
   schema::BeliefBuilder table(builder);
   table.add_version(kMeshVersion);
   table.add_base_revision(update.base_revision.number);
@@ -350,6 +364,9 @@
   table.add_configuration_epoch(update.configuration_revision.epoch);
   table.add_holders_known_ms(ToMilliseconds(update.holders_known_for));
   table.add_configuration(configuration);
+  table.add_compressed_configuration(compressed);
+  table.add_configuration_bytes(
+      static_cast<std::uint32_t>(update.configuration.size()));
   table.add_targets(targets);
   table.add_reader(update.reader);
   table.add_ended(ended);
@@ -386,6 +403,19 @@
                                    table->configuration_epoch()};
   update.holders_known_for = milliseconds(table->holders_known_ms());
   update.configuration = std::string(ViewOf(table->configuration()));
+  update.compressed_configuration =
+      std::string(ViewOf(table->compressed_configuration()));
+  if (!update.compressed_configuration.empty()) {
+    if (table->configuration_bytes() > kMaxConfigurationBytes) {
+      return std::nullopt;
+    }
+    auto text = DecompressText(update.compressed_configuration,
+                               table->configuration_bytes());
+    if (!text) {
+      return std::nullopt;
+    }
+    update.configuration = std::move(*text);
+  }
   if (table->targets() != nullptr) {
     for (const schema::Target* row : *table->targets()) {
       update.targets.push_back(DecodeTarget(*row, now));
--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "net/http_client.h"
 #include "synchronizer_fixture.h"
 
 namespace corianderplank {
@@ -56,6 +57,41 @@
   CHECK(WaitUntil([&] { return second.Version() == 7; }, kPropagationLimit));
 }
 
+/// @return body of an entry's answer; empty if there is none.
+std::string Get(const endpoint& server, const std::string& target) {
+  event_loop loop;
+  http_client client(loop, server);
+  client_request request;
+  request.target = target;
+  std::string body;
+  client.Send(request, [&](const client_result& result) {
+    body = result.body;
+    loop.Stop();
+  });
+  loop.Run();
+  return body;
+}
+
+// Guards against a configuration that is late on slow links, since its reader
+// sends the complete text to each of many peers.
+TEST_CASE("a large configuration is compressed for peers that can read it") {
+  constexpr std::size_t kTextBytes = 1000000;
+  test_store store;
+  store.PutConfiguration(3, kTextBytes);
+  const test_entry reader(store, 1);
+  const test_entry second(store, 2);
+  REQUIRE(WaitUntil(
+      [&] { return reader.Version() == 3 && second.Version() == 3; }, 3s));
+  CHECK(second.Snapshot()->configuration->source ==
+        reader.Snapshot()->configuration->source);
+  for (const test_entry* entry : {&reader, &second}) {
+    const endpoint server = entry->FleetStateEndpoint();
+    CHECK(Get(server, "/belief?compressed=1").size() < kTextBytes / 10);
+    // Older builds ask without the parameter.
+    CHECK(Get(server, "/belief").size() > kTextBytes);
+  }
+}
+
 // Guards against a configuration that is never read: a store restored from an
 // older copy gave it a revision that the reader had already passed.
 TEST_CASE("a configuration of a restored store is read at a reused revision") {
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -47,18 +47,22 @@
 
 std::shared_ptr<const fleet_configuration> MakeConfiguration(
     std::uint64_t version,
-    const source_revision& revision) {
+    const source_revision& revision,
+    std::size_t text_bytes) {
   auto configuration = std::make_shared<fleet_configuration>();
   configuration->version = version;
   configuration->revision = revision;
   configuration->source = std::to_string(version);
+  configuration->source.resize(
+      std::max(configuration->source.size(), text_bytes), ' ');
   return configuration;
 }
 
-void test_store::PutConfiguration(std::uint64_t version) {
+void test_store::PutConfiguration(std::uint64_t version,
+                                  std::size_t text_bytes) {
   const std::lock_guard lock(mutex_);
-  content_.configuration =
-      MakeConfiguration(version, {++content_.revision, content_.epoch});
+  content_.configuration = MakeConfiguration(
+      version, {++content_.revision, content_.epoch}, text_bytes);
 }
 
 void test_store::PutTarget(const std::string& name,
@@ -147,7 +151,7 @@
 std::shared_ptr<const fleet_configuration>
 test_store_client::ParseConfiguration(const std::string& text,
                                       const source_revision& revision) const {
-  return MakeConfiguration(std::stoull(text), revision);
+  return MakeConfiguration(std::stoull(text), revision, text.size());
 }
 
 test_entry::test_entry(test_store& store,
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -30,7 +30,9 @@
     std::map<std::string, fleet_target> targets;
   };
 
-  void PutConfiguration(std::uint64_t version);
+  /// @param version version of the configuration.
+  /// @param text_bytes minimum size of its text.
+  void PutConfiguration(std::uint64_t version, std::size_t text_bytes = 0);
 
   /// Writes a target that listens at 127.0.0.99.
   /// @param name its name.
@@ -57,10 +59,12 @@
   content content_;
 };
 
-/// @return a configuration without routes whose text is its version.
+/// @return a configuration without routes whose text is its version, padded to
+/// a size.
 std::shared_ptr<const fleet_configuration> MakeConfiguration(
     std::uint64_t version,
-    const source_revision& revision);
+    const source_revision& revision,
+    std::size_t text_bytes = 0);
 
 /// One entry's access to the store.
 class test_store_client : public fleet_source {
@@ -142,6 +146,9 @@
     return counters_.Get(result_code::outdated_read);
   }
 
+  /// @return where it serves its state to peers.
+  endpoint FleetStateEndpoint() const { return settings_.fleet_state_endpoint; }
+
   /// @return the entry's access to the store.
   test_store_client& Client() { return client_; }
 
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -10,6 +10,7 @@
 #include <rapidcheck.h>
 
 #include "wire/mesh_codec.h"
+#include "wire/text_compression.h"
 
 namespace corianderplank {
 namespace {
@@ -207,6 +208,54 @@
 // A receive buffer, a slice of a datagram and an HTTP body differ in alignment.
 constexpr std::size_t kAlignments = 8;
 
+/// @return an update with a configuration of many similar routes.
+fleet_update UpdateWithRoutes() {
+  fleet_update update;
+  update.configuration_version = 4;
+  for (int route = 0; route < 2000; ++route) {
+    update.configuration += R"({"Name":"r-)" + std::to_string(route) +
+                            R"(","Hostname":"198.18.0.1","TimeoutMs":2500},)";
+  }
+  update.compressed_configuration = CompressText(update.configuration);
+  return update;
+}
+
+TEST_CASE("a compressed configuration survives a round trip") {
+  const fleet_update update = UpdateWithRoutes();
+  const std::string bytes = EncodeFleetUpdate(update, kNow);
+  CHECK(bytes.size() * 4 < update.configuration.size());
+  const auto back = DecodeFleetUpdate(bytes, kNow);
+  REQUIRE(back);
+  CHECK(back->configuration == update.configuration);
+  CHECK(back->compressed_configuration == update.compressed_configuration);
+}
+
+TEST_CASE("a damaged compressed configuration makes an update malformed") {
+  const fleet_update update = UpdateWithRoutes();
+  fleet_update damaged = update;
+  damaged.compressed_configuration.resize(
+      update.compressed_configuration.size() / 2);
+  CHECK_FALSE(DecodeFleetUpdate(EncodeFleetUpdate(damaged, kNow), kNow));
+  damaged = update;
+  damaged.compressed_configuration[100] ^= 1;
+  CHECK_FALSE(DecodeFleetUpdate(EncodeFleetUpdate(damaged, kNow), kNow));
+  // The announced size is that of the text, neither more nor less.
+  damaged = update;
+  damaged.configuration.pop_back();
+  CHECK_FALSE(DecodeFleetUpdate(EncodeFleetUpdate(damaged, kNow), kNow));
+  damaged = update;
+  damaged.configuration += "x";
+  CHECK_FALSE(DecodeFleetUpdate(EncodeFleetUpdate(damaged, kNow), kNow));
+}
+
+// Guards against a small message that takes the memory of a machine.
+TEST_CASE("a compressed configuration that expands too far is malformed") {
+  fleet_update update;
+  update.configuration = std::string(8 * 1024 * 1024, ' ');
+  update.compressed_configuration = CompressText(update.configuration);
+  CHECK_FALSE(DecodeFleetUpdate(EncodeFleetUpdate(update, kNow), kNow));
+}
+
 TEST_CASE("every encoded message decodes, at each length and alignment") {
   mesh_encoder encoder;
   for (int kind = static_cast<int>(mesh_kind::deliver);
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -6,7 +6,7 @@
   libboost-thread1.81-dev libnng-dev
   libcxxopts-dev libtomlplusplus-dev libsodium-dev libxxhash-dev
   nlohmann-json3-dev doctest-dev librapidcheck-dev libbenchmark-dev
-  libflatbuffers-dev)
+  libflatbuffers-dev zlib1g-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' ||
