--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "net/http_server.h"
@@ -121,5 +123,59 @@
   CHECK(Read({{"2", first}, {"2", last}}, {}).status == read_status::complete);
 }
 
+/// @return a page with one item without a value.
+std::string PageWithKey(const std::string& key, bool truncated) {
+  return R"({"items":[{"Key":")" + key + R"(","Revision":1}],"Truncated":)" +
+         (truncated ? "true" : "false") + R"(,"AtRev":15})";
+}
+
+/// @return the queries with which a list is read whose first page ends with the
+/// key.
+std::vector<std::string> AfterKeys(const std::string& key) {
+  event_loop loop;
+  std::vector<std::string> after;
+  const http_server server(
+      loop, kStore, [&](const http_request& request, auto responder) {
+        http_response response;
+        response.body = PageWithKey(after.empty() ? key : "z", after.empty());
+        const auto found = request.query.find("after");
+        after.push_back(found == request.query.end() ? "" : found->second);
+        responder->Respond(std::move(response));
+      });
+  store_client client(loop, kStore, ClockWithSleep);
+  client.ReadAll([&](const fleet_read_result& result) {
+    CHECK(result.status == read_status::complete);
+    loop.Stop();
+  });
+  loop.Run();
+  return after;
+}
+
+// Guards against a list that a started entry cannot read to its end, or reads
+// forever, since another writer's key at the end of a page breaks the query.
+TEST_CASE("the key that a page ends with is encoded in the next query") {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"servers/i-7f3a91c2", "servers/i-7f3a91c2"},
+      {"servers/a&b", "servers/a%26b"},
+      {"servers/a&after=b", "servers/a%26after%3Db"},
+      {"servers/100% +#?", "servers/100%25%20%2B%23%3F"},
+      {"a b\\r\\nHost: x", "a%20b%0D%0AHost:%20x"},
+      {"\xc3\xa9\xff", "%C3%A9%FF"}};
+  for (const auto& [key, encoded] : cases) {
+    CAPTURE(key);
+    CHECK(AfterKeys(key) == std::vector<std::string>{"", encoded});
+  }
+}
+
+// Guards against targets that count as removed since the rest of the list was
+// not read, and against reading one page again and again.
+TEST_CASE("a list that cannot be continued is refused") {
+  const std::string keyless =
+      R"({"items":[{"Key":5}],"Truncated":true,"AtRev":15})";
+  CHECK(Read({{"", keyless}}, {}).status == read_status::refused);
+  const std::string again = PageWithKey("servers/a", true);
+  CHECK(Read({{"", again}, {"", again}}, {}).status == read_status::refused);
+}
+
 }  // namespace
 }  // namespace corianderplank::platform
