Accept fractions and refuse NaN in the packet path's settings

What callers saw: nothing on the sites at hand, whose bounds are whole. On a deployment with GraceS = 4.5, or 6.0, no process would have started: the bound goes into the settings as it is, and DEPLOY.md allows fractions. link_mbps = nan was accepted and converted to an integer, which has no defined result.

Cause: longest_flow_s and stop_limit_s were read as integers; the range check of fractions was false for NaN on both sides.

Change: both times are read as numbers and rounded to milliseconds; a number counts only if it is within its range.

--- a/Source/packet/packet_settings.cc
+++ b/Source/packet/packet_settings.cc
@@ -11,7 +11,7 @@
 
 constexpr int kInvalidSettingsExitCode = 1;
 constexpr std::int64_t kMaxPort = 65535;
-constexpr std::int64_t kMaxSeconds = 86400;
+constexpr double kMaxSeconds = 86400;
 constexpr double kMaxMbps = 1000000;
 constexpr double kBytesPerMbit = 125000;
 
@@ -19,6 +19,14 @@
   return static_cast<std::uint16_t>(root.Number(key, 1, kMaxPort));
 }
 
+std::chrono::milliseconds ReadSeconds(toml_section& root,
+                                      const char* key,
+                                      double lowest) {
+  const std::chrono::duration<double> value(
+      root.Fraction(key, lowest, kMaxSeconds));
+  return std::chrono::round<std::chrono::milliseconds>(value);
+}
+
 void ReadEntry(toml_section& root, packet_settings& settings) {
   settings.fleet_state_endpoint = root.Address("belief");
   settings.platform = root.Address("platform");
@@ -90,10 +98,8 @@
   settings.seeds = root.Addresses("seeds");
   settings.link_bytes_per_second = static_cast<std::uint64_t>(
       root.FractionOr("link_mbps", 0, 0, kMaxMbps) * kBytesPerMbit);
-  settings.longest_flow =
-      std::chrono::seconds(root.Number("longest_flow_s", 1, kMaxSeconds));
-  settings.stop_limit =
-      std::chrono::seconds(root.Number("stop_limit_s", 0, kMaxSeconds));
+  settings.longest_flow = ReadSeconds(root, "longest_flow_s", 1);
+  settings.stop_limit = ReadSeconds(root, "stop_limit_s", 0);
   if (is_agent) {
     ReadAgent(root, settings);
   } else {
--- a/Source/product/toml_reader.cc
+++ b/Source/product/toml_reader.cc
@@ -107,24 +107,29 @@
   return value == nullptr ? fallback : Number(key, lowest, highest);
 }
 
-double toml_section::FractionOr(const std::string& key,
-                                double fallback,
-                                double lowest,
-                                double highest) {
+double toml_section::Fraction(const std::string& key,
+                              double lowest,
+                              double highest) {
   const toml::node* value = node_->Take(key);
-  if (value == nullptr) {
-    return fallback;
-  }
-  const auto number = value->value<double>();
-  if (!number || *number < lowest || *number > highest) {
+  const auto number = value == nullptr ? std::nullopt : value->value<double>();
+  // TOML has NaN, which compares as neither lower nor higher.
+  if (!number || !(*number >= lowest && *number <= highest)) {
     std::ostringstream accepted;
     accepted << "a number from " << lowest << " to " << highest;
     node_->Error(key, value, accepted.str());
-    return fallback;
+    return lowest;
   }
   return *number;
 }
 
+double toml_section::FractionOr(const std::string& key,
+                                double fallback,
+                                double lowest,
+                                double highest) {
+  const toml::node* value = node_->Take(key);
+  return value == nullptr ? fallback : Fraction(key, lowest, highest);
+}
+
 endpoint toml_section::Address(const std::string& key) {
   const toml::node* value = node_->Take(key);
   const auto text =
--- a/Source/product/toml_reader.h
+++ b/Source/product/toml_reader.h
@@ -55,11 +55,16 @@
   std::int64_t Number(const std::string& key,
                       std::int64_t lowest,
                       std::int64_t highest);
+  /// @param key a key that must be there; whole numbers are accepted as well.
+  /// @param lowest the lowest value that is accepted.
+  /// @param highest the highest.
+  /// @return its value, `lowest` after an error.
+  double Fraction(const std::string& key, double lowest, double highest);
   /// @param key a key that may be missing.
   /// @param fallback the value when it is.
   /// @param lowest the lowest value that is accepted.
   /// @param highest the highest.
-  /// @return its value.
+  /// @return its value, `lowest` after an error.
   double FractionOr(const std::string& key,
                     double fallback,
                     double lowest,
--- a/Tests/packet/packet_settings_test.cc
+++ b/Tests/packet/packet_settings_test.cc
@@ -75,6 +75,38 @@
       ParsePacketSettings("e.toml", kEntrySettings, true).errors.empty());
 }
 
+// Guards against processes that do not start on a deployment whose bounds are
+// fractions, or whole numbers written as such.
+TEST_CASE("times in seconds may be fractions") {
+  const auto fractions =
+      ParsePacketSettings("e.toml",
+                          Replace(Replace(kEntrySettings, "longest_flow_s = 60",
+                                          "longest_flow_s = 60.0"),
+                                  "stop_limit_s = 6", "stop_limit_s = 4.25"),
+                          false);
+  REQUIRE(fractions.errors.empty());
+  CHECK(fractions.settings.longest_flow == 60s);
+  CHECK(fractions.settings.stop_limit == 4250ms);
+  for (const std::string invalid :
+       {"nan", "inf", "-0.5", "1e300", "true", "\"6\""}) {
+    CAPTURE(invalid);
+    const std::string key = "stop_limit_s = ";
+    const auto parsed = ParsePacketSettings(
+        "e.toml", Replace(kEntrySettings, key + "6", key + invalid), false);
+    CHECK(parsed.errors.size() == 1);
+  }
+}
+
+// Guards against a conversion of NaN, which has no result.
+TEST_CASE("a link's rate is a finite number") {
+  for (const std::string invalid : {"nan", "-nan", "inf", "-1.0"}) {
+    CAPTURE(invalid);
+    const auto parsed = ParsePacketSettings(
+        "e.toml", Replace(kEntrySettings, "10.5", invalid), false);
+    CHECK(parsed.errors.size() == 1);
+  }
+}
+
 /// Temporary settings file that the destructor removes.
 struct settings_file {
   settings_file() {
