--- a/Tests/platform/store_page_test.cc
+++ b/Tests/platform/store_page_test.cc
@@ -297,6 +297,26 @@
   CHECK(plain.shares[0].service == ServiceIdOf("wuno96b"));
 }
 
+// Guards against times and weights that wrap around when they are used.
+TEST_CASE("large numbers of a configuration are limited") {
+  const auto parsed = ParseConfigurationText(
+      R"({"Version":7,"Routes":[
+        {"Hostname":"198.18.0.1","Prefix":"/80/","TrafficSplit":[
+          {"Service":"a","Weight":4294967296},{"Service":"b","Weight":1}],
+         "TimeoutMs":9223372036854775807,"AimMs":18446744073709551615,
+         "Priority":4294967297}],
+        "Limits":{"IdleTimeoutMs":9223372036854775807}})",
+      1);
+  REQUIRE(parsed);
+  const fleet_route& route = parsed->routes.at(ParseEndpoint("198.18.0.1:80"));
+  REQUIRE(route.shares.size() == 2);
+  CHECK(route.shares[0].weight == 4294967295U);
+  CHECK(route.policy.priority == 4294967295U);
+  CHECK(kNow + route.policy.timeout > kNow);
+  CHECK(kNow + route.policy.latency_target >= kNow);
+  CHECK(kNow + parsed->idle_timeout > kNow);
+}
+
 TEST_CASE("a malformed configuration is rejected") {
   CHECK(ParseConfigurationText("", 1) == nullptr);
   CHECK(ParseConfigurationText("[]", 1) == nullptr);
