Read the list when the changes are too large

Cause: a response above 4 MB was refused as a lost connection and asked for again, with more versions in it each time.

Change: http_client tells a response that is too large from a lost one.

"changes that are too large are replaced by the list" uses a status that did not exist before.

--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -215,6 +215,10 @@
      "again."},
     {result_code::outdated_read, outcome_kind::placement, "outdated_read",
      "A read of the platform was dropped since it precedes the known state."},
+    {result_code::changes_too_large, outcome_kind::placement,
+     "changes_too_large",
+     "The changes since the last read take more than the list, which was "
+     "read."},
 };
 
 }  // namespace
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -119,6 +119,7 @@
   request_held_while_failing = 737,
   source_restored = 738,
   outdated_read = 739,
+  changes_too_large = 740,
 };
 
 /// One row of the table of codes.
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -21,7 +21,6 @@
 namespace {
 
 constexpr std::size_t kMaxIdleConnections = 64;
-constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
 
 /// @return whether the server has neither closed nor spoken out of turn.
@@ -57,7 +56,7 @@
       }
       message.body() = request.body;
       message.prepare_payload();
-      parser.body_limit(kMaxBodyBytes);
+      parser.body_limit(request.max_body_bytes);
     }
 
     void Begin() {
@@ -107,6 +106,7 @@
           *stream, buffer, parser,
           [self = shared_from_this()](auto error, std::size_t /*bytes*/) {
             if (error) {
+              self->too_large = error == http::error::body_limit;
               self->Finish(client_status::lost);
             } else if (self->parser.is_done()) {
               self->Finish(client_status::completed);
@@ -132,6 +132,7 @@
     void Finish(client_status status) {
       client_result result;
       result.status = status;
+      result.too_large = too_large;
       if (status == client_status::completed) {
         const auto& response = parser.get();
         result.code = static_cast<int>(response.result_int());
@@ -162,6 +163,7 @@
     http::response_parser<http::string_body> parser;
     beast::flat_buffer buffer;
     bool cancelled = false;
+    bool too_large = false;
   };
 
   state(event_loop& loop, const endpoint& server)
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -26,6 +26,8 @@
   /// Limit for the response as a whole, whose parts may then arrive for longer
   /// than `timeout`; 0 for none.
   std::chrono::milliseconds transfer_limit{0};
+  /// Size of the largest response body that is accepted.
+  std::size_t max_body_bytes = 4 * 1024 * 1024;
 };
 
 /// How far a request got.
@@ -38,6 +40,8 @@
 /// The end of a request; header names are in lower case.
 struct client_result {
   client_status status = client_status::lost;
+  /// The response is lost since its body exceeds the request's limit.
+  bool too_large = false;
   int code = 0;
   std::map<std::string, std::string> headers;
   std::string body;
--- a/Source/packet/fleet_source.h
+++ b/Source/packet/fleet_source.h
@@ -16,6 +16,7 @@
 enum class read_status : std::uint8_t {
   complete,      ///< The result contains everything that was requested.
   history_lost,  ///< The source no longer stores the requested changes.
+  too_large,     ///< The requested changes exceed the accepted size.
   refused,       ///< The source replied that it does not serve the read.
   unreachable,   ///< No reply within the timeout.
 };
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -149,9 +149,14 @@
               const source_revision& base,
               const fleet_read_result& read) {
     const time_point now = ClockWithSleep();
-    if (read.status == read_status::history_lost) {
-      result_counters.Add(result_code::history_lost);
-      LogEvent(log_level::warning, "history_lost",
+    const bool too_large = read.status == read_status::too_large;
+    // A list that is too large cannot be read in another way.
+    if (read.status == read_status::history_lost ||
+        (too_large && base.IsSet())) {
+      result_counters.Add(too_large ? result_code::changes_too_large
+                                    : result_code::history_lost);
+      LogEvent(log_level::warning,
+               too_large ? "changes_too_large" : "history_lost",
                {{"revision", FormatRevision(fleet.Revision())}});
       full_read_needed = true;
       Read(now);
@@ -225,8 +230,8 @@
     if (!source_failing) {
       source_failing = true;
       LogEvent(log_level::warning, "platform_lost",
-               {{"reason",
-                 status == read_status::refused ? "refused" : "unreachable"}});
+               {{"reason", status == read_status::unreachable ? "unreachable"
+                                                              : "refused"}});
     }
     schedule.OnReadEnd(now, false);
     if (!fleet.Revision().IsSet()) {
--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -265,6 +265,18 @@
   CHECK(RequestAtPace(13, slow, request).status == client_status::lost);
 }
 
+TEST_CASE("a response that exceeds the accepted size is told at once") {
+  client_request request;
+  request.max_body_bytes = 50000;
+  const response_pace slow{.part_bytes = 5000, .period = 400ms};
+  const client_result result = RequestAtPace(15, slow, request);
+  CHECK(result.status == client_status::lost);
+  CHECK(result.too_large);
+  request.max_body_bytes = 100000;
+  CHECK_FALSE(RequestAtPace(16, {.part_bytes = 50000, .period = 1ms}, request)
+                  .too_large);
+}
+
 // Guards against a limit for the exchange that parts of the response extend.
 TEST_CASE("without a transfer limit the timeout covers the whole response") {
   client_request request;
--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -92,6 +92,27 @@
   }
 }
 
+// Guards against entries that see no change until the store drops its history,
+// since each read of the changes is larger than the one that failed before.
+TEST_CASE("changes that are too large are replaced by the list") {
+  test_store store;
+  store.PutConfiguration(3);
+  test_entry reader(store, 1);
+  test_entry second(store, 2);
+  REQUIRE(WaitUntil(
+      [&] { return reader.Version() == 3 && second.Version() == 3; }, 3s));
+  reader.Client().SetChangesTooLarge(true);
+  second.Client().SetChangesTooLarge(true);
+  store.PutConfiguration(7);
+  store.PutTarget("a", 1, target_state::ready);
+  CHECK(WaitUntil(
+      [&] {
+        return reader.Version() == 7 && second.Version() == 7 &&
+               reader.GivesNewFlowsTo("a") && second.GivesNewFlowsTo("a");
+      },
+      kPropagationLimit));
+}
+
 // Guards against a configuration that is never read: a store restored from an
 // older copy gave it a revision that the reader had already passed.
 TEST_CASE("a configuration of a restored store is read at a reused revision") {
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -139,6 +139,10 @@
     const std::lock_guard lock(mutex_);
     result =
         test_store::Read(lagging_copy_ ? *lagging_copy_ : store_.Copy(), after);
+    if (changes_too_large_ && after.IsSet()) {
+      result = {};
+      result.status = read_status::too_large;
+    }
   }
   has_pending_reply_ = true;
   loop_.After(reply_delay_, [this, callback = std::move(callback),
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -77,6 +77,9 @@
   /// @param reachable whether reads reach the store.
   void SetReachable(bool reachable) { reachable_ = reachable; }
 
+  /// @param too_large whether reads of changes fail for their size.
+  void SetChangesTooLarge(bool too_large) { changes_too_large_ = too_large; }
+
   /// @param delay time for which replies are held back.
   void SetReplyDelay(std::chrono::milliseconds delay) { reply_delay_ = delay; }
 
@@ -102,6 +105,7 @@
   event_loop& loop_;
   test_store& store_;
   std::atomic<bool> reachable_{true};
+  std::atomic<bool> changes_too_large_{false};
   std::atomic<std::chrono::milliseconds> reply_delay_{};
   std::atomic<bool> has_pending_reply_{false};
   std::mutex mutex_;
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -112,6 +112,15 @@
   CHECK(ReadAtPace(body, stalls).status == read_status::unreachable);
 }
 
+// Guards against a read that is repeated although it can never be accepted.
+TEST_CASE("changes larger than any list are told apart from a lost answer") {
+  const std::string body = R"({"events":[{"Key":"other","Value":")" +
+                           std::string(3 * 1024 * 1024, 'A') +
+                           R"(","Revision":13}],"AtRev":15})";
+  CHECK(ReadAtPace(body, {.part_bytes = 10000, .period = 50ms}).status ==
+        read_status::too_large);
+}
+
 // Guards against a list that mixes the content from before and after a
 // restoration.
 TEST_CASE("pages of two epochs make no list") {
