--- a/Tests/platform/store_page_test.cc
+++ b/Tests/platform/store_page_test.cc
@@ -17,6 +17,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/store_page.h"
+#include "platform/target_entry.h"
 
 namespace corianderplank::platform {
 namespace {
@@ -216,6 +217,40 @@
   }
 }
 
+// Values of other writers, drawn from all types and from the ends of ranges.
+TEST_CASE("an accepted entry is in range, whatever its fields hold") {
+  const std::vector<std::string> literals = {
+      "0",     "1",        "-1",       "4294967296",           "1e999",
+      "1.5",   "null",     "true",     "9007199254740992",     "\"ready\"",
+      "[]",    "{}",       "\"\"",     "18446744073709551615", "\"draining\"",
+      "[[1]]", "\"\xff\"", "86400000", "\"255.1.1.1:1\"",      "\"1.1.1.1:1\""};
+  const json target = Target();
+  std::vector<std::string> names;
+  for (const auto& item : target.items()) {
+    names.push_back(item.key());
+  }
+  rc::check([&](std::uint64_t seed) {
+    std::string text = "{";
+    for (const std::string& name : names) {
+      const std::uint64_t draw = MixHash(++seed, 3);
+      const bool is_changed = draw % 8 == 0;
+      text += text.size() > 1 ? "," : "";
+      text += "\"" + name + "\":" +
+              (is_changed ? literals[draw / 8 % literals.size()]
+                          : target[name].dump());
+    }
+    const target_entry entry = ParseTargetEntry(text + "}", kNow);
+    RC_ASSERT(entry.target.has_value() == entry.error.empty());
+    if (entry.target) {
+      RC_ASSERT(entry.target->address.IsValid());
+      RC_ASSERT(entry.target->slots >= 1 && entry.target->slots <= 1000000);
+      RC_ASSERT(entry.target->warm_up_until >= kNow);
+      RC_ASSERT(entry.target->warm_up_until <= kNow + 24h);
+      RC_ASSERT(entry.target->target_start_ms > 0);
+    }
+  });
+}
+
 TEST_CASE("the error of an unusable entry names its key and first field") {
   json changed = Target();
   changed.erase("Seq");
