Correct the text of a result code and the comments of limits

Cause: the code and the page described changes_too_large in different words, which product_test compares.

Result: product_test and platform_test pass; an entry may end with white space, but not with a second value.

--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -217,8 +217,8 @@
      "A read of the platform was dropped since it precedes the known state."},
     {result_code::changes_too_large, outcome_kind::placement,
      "changes_too_large",
-     "The changes since the last read take more than the list, which was "
-     "read."},
+     "The changes since the last read are too large; the list was read "
+     "instead."},
 };
 
 }  // namespace
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -20,11 +20,10 @@
   std::string target = "/";
   std::map<std::string, std::string> headers;
   std::string body;
-  /// Limit for the whole exchange; with a transfer limit, for each part of it
-  /// during which no byte arrives.
+  /// Limit for the whole exchange, or, with a transfer limit, for the time
+  /// until the next byte of the response.
   std::chrono::milliseconds timeout{1000};
-  /// Limit for the response as a whole, whose parts may then arrive for longer
-  /// than `timeout`; 0 for none.
+  /// Limit for the response from its first byte on; 0 for none.
   std::chrono::milliseconds transfer_limit{0};
   /// Size of the largest response body that is accepted.
   std::size_t max_body_bytes = 4 * 1024 * 1024;
--- a/Tests/platform/store_page_test.cc
+++ b/Tests/platform/store_page_test.cc
@@ -270,6 +270,9 @@
   extended["Notes"] = {{"State", "draining"}, {"list", {1, {{"Seq", "x"}}}}};
   extended["Retired"] = nullptr;
   CHECK(UsableTargets({Item("servers/x", extended.dump(), 400)}) == 1);
+  CHECK(UsableTargets({Item("servers/x", extended.dump(2) + "\r\n ", 400)}) ==
+        1);
+  CHECK(UsableTargets({Item("servers/x", extended.dump() + "{}", 400)}) == 0);
 }
 
 /// @param piece text that is repeated up to the size of the largest value.
