Make the test of refused sizes able to fail

Cause: the test passed as well if the size was noticed only once the body had arrived. Now nothing arrives after the announced size, so only a refusal by that size gives too_large; with the size within the limit the same response is a lost one.

--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -265,16 +265,22 @@
   CHECK(RequestAtPace(13, slow, request).status == client_status::lost);
 }
 
+// Guards against a refusal that takes the time of the whole transfer, or is
+// taken for a lost connection.
 TEST_CASE("a response that exceeds the accepted size is told at once") {
+  // Nothing arrives after the announced size and a part of the body.
+  const response_pace stalls{
+      .part_bytes = 200, .period = 1ms, .stalls_after = 200};
   client_request request;
-  request.max_body_bytes = 50000;
-  const response_pace slow{.part_bytes = 5000, .period = 400ms};
-  const client_result result = RequestAtPace(15, slow, request);
-  CHECK(result.status == client_status::lost);
-  CHECK(result.too_large);
+  request.timeout = 500ms;
+  request.max_body_bytes = 99999;
+  const client_result refused = RequestAtPace(15, stalls, request);
+  CHECK(refused.status == client_status::lost);
+  CHECK(refused.too_large);
   request.max_body_bytes = 100000;
-  CHECK_FALSE(RequestAtPace(16, {.part_bytes = 50000, .period = 1ms}, request)
-                  .too_large);
+  const client_result accepted = RequestAtPace(16, stalls, request);
+  CHECK(accepted.status == client_status::lost);
+  CHECK_FALSE(accepted.too_large);
 }
 
 // Guards against a limit for the exchange that parts of the response extend.
