Free a request that is under way when its loop stops

Cause: the state of an HTTP client lists its requests, and each request holds the state. A request that its loop no longer completes, since the loop has stopped, kept both in memory for ever.

Change: the client's destructor empties the list. Requests under way are kept by the handlers of the loop alone, and end with it.

Callers saw nothing: a daemon's clients live as long as its process.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -179,7 +179,11 @@
 http_client::http_client(event_loop& loop, const endpoint& server)
     : state_(std::make_shared<state>(loop, server)) {}
 
-http_client::~http_client() = default;
+http_client::~http_client() {
+  // A request and the state refer to each other. The handlers of the loop keep
+  // the requests that are under way, until the loop itself ends.
+  state_->active.clear();
+}
 
 std::uint64_t http_client::Send(const client_request& request,
                                 client_callback callback) {
--- a/Tests/net/net_test.cc
+++ b/Tests/net/net_test.cc
@@ -292,6 +292,26 @@
       client_status::lost);
 }
 
+// Guards against a client and its requests that keep each other in memory: a
+// loop that stops while a request is under way never completes it.
+TEST_CASE("a request under way ends with its client and loop") {
+  const auto token = std::make_shared<int>(0);
+  const std::weak_ptr<int> kept = token;
+  {
+    event_loop loop;
+    const http_server server(loop, ServerAddress(17),
+                             [&](const http_request&, const auto& responder) {
+                               loop.Stop();
+                               responder->Abort();
+                             });
+    http_client client(loop, ServerAddress(17));
+    client.Send({}, [token](const client_result&) {});
+    RunWithLimit(loop);
+  }
+  CHECK(kept.use_count() == token.use_count());
+  CHECK(token.use_count() == 1);
+}
+
 TEST_CASE("a kept connection that the server closed is not used") {
   event_loop loop;
   auto server = std::make_unique<http_server>(
