Hand an agent's flows over to the agent started in its place

Cause: an agent that is restarted beside a live target knows no flow, and for longest_flow (60 s) only its target can tell which ones it holds. An entry that lost its cache, since it was restarted as well, then sends the packet of an open flow to one target after another, each of which returns it. While the flow's own agent is down or answers late, only others get it.

Change: an agent that ends as planned sends the flows of its table to the seeds, twice, and its successor asks the seeds for them. Until they have arrived, every seed has none, or 1 s is over, searches get no reply from it. A list that was complete makes the successor complete, so that it denies flows instead of trying them on its target. A seed that is stopped as planned passes its lists on. Flows whose phase may change while no agent runs are handed over as unknown.

Why it works: a stopping agent accepts no new flow and the target can be reached through its agent only, so what the old agent knew at its end is what the new one has to know at its start.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -206,7 +206,10 @@
     VT_KNOWN_FOR_MS = 56,
     VT_PAUSE_MS = 58,
     VT_TIMEOUT_MS = 60,
-    VT_REPEATABLE = 62
+    VT_REPEATABLE = 62,
+    VT_PART = 64,
+    VT_PART_COUNT = 66,
+    VT_SENDER_STARTED_MS = 68
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -298,6 +301,15 @@
   bool repeatable() const {
     return GetField<uint8_t>(VT_REPEATABLE, 0) != 0;
   }
+  uint32_t part() const {
+    return GetField<uint32_t>(VT_PART, 0);
+  }
+  uint32_t part_count() const {
+    return GetField<uint32_t>(VT_PART_COUNT, 0);
+  }
+  int64_t sender_started_ms() const {
+    return GetField<int64_t>(VT_SENDER_STARTED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -336,6 +348,9 @@
            VerifyField<uint32_t>(verifier, VT_PAUSE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REPEATABLE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PART, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PART_COUNT, 4) &&
+           VerifyField<int64_t>(verifier, VT_SENDER_STARTED_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -434,6 +449,15 @@
   void add_repeatable(bool repeatable) {
     fbb_.AddElement<uint8_t>(Mesh::VT_REPEATABLE, static_cast<uint8_t>(repeatable), 0);
   }
+  void add_part(uint32_t part) {
+    fbb_.AddElement<uint32_t>(Mesh::VT_PART, part, 0);
+  }
+  void add_part_count(uint32_t part_count) {
+    fbb_.AddElement<uint32_t>(Mesh::VT_PART_COUNT, part_count, 0);
+  }
+  void add_sender_started_ms(int64_t sender_started_ms) {
+    fbb_.AddElement<int64_t>(Mesh::VT_SENDER_STARTED_MS, sender_started_ms, 0);
+  }
   explicit MeshBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -476,10 +500,16 @@
     uint32_t known_for_ms = 0,
     uint32_t pause_ms = 0,
     uint32_t timeout_ms = 0,
-    bool repeatable = false) {
+    bool repeatable = false,
+    uint32_t part = 0,
+    uint32_t part_count = 0,
+    int64_t sender_started_ms = 0) {
   MeshBuilder builder_(_fbb);
+  builder_.add_sender_started_ms(sender_started_ms);
   builder_.add_born_ms(born_ms);
   builder_.add_service(service);
+  builder_.add_part_count(part_count);
+  builder_.add_part(part);
   builder_.add_timeout_ms(timeout_ms);
   builder_.add_pause_ms(pause_ms);
   builder_.add_known_for_ms(known_for_ms);
@@ -542,7 +572,10 @@
     uint32_t known_for_ms = 0,
     uint32_t pause_ms = 0,
     uint32_t timeout_ms = 0,
-    bool repeatable = false) {
+    bool repeatable = false,
+    uint32_t part = 0,
+    uint32_t part_count = 0,
+    int64_t sender_started_ms = 0) {
   auto questions__ = questions ? _fbb.CreateVectorOfStructs<corianderplank::schema::Question>(*questions) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   auto unlisted__ = unlisted ? _fbb.CreateVectorOfStructs<corianderplank::schema::PresentAgent>(*unlisted) : 0;
@@ -580,7 +613,10 @@
       known_for_ms,
       pause_ms,
       timeout_ms,
-      repeatable);
+      repeatable,
+      part,
+      part_count,
+      sender_started_ms);
 }
 
 struct Target FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -36,6 +36,10 @@
   flows = 17,       ///< Agent to entry: all flows that it knows.
   ended = 18,       ///< Agent to entry: its target has ended, with its flows.
   ended_target_list = 19,  ///< Entry to entry: targets that have ended.
+  flow_handover = 20,      ///< Agent to seed, at its planned end: a part of its
+                           ///< flows. Seed to agent: its predecessor's part.
+  handover_request = 21,   ///< Agent to seed: request for the handover of the
+                           ///< agent that ran in its place before.
 };
 
 /// Result of a query for one flow.
@@ -95,14 +99,14 @@
   /// Opened: initial sequence number that the target chose.
   std::uint32_t sequence = 0;
   agent_load load;
-  /// Flow_queries, flow_query_results: at most kMaxFlowQueries.
+  /// Flow_queries, flow_query_results, flow_handover: at most kMaxFlowQueries.
   std::vector<flow_query> queries;
   /// List_flows, flows: number of the census round. Hello: digest of the known
   /// ended targets.
   std::uint32_t round = 0;
   /// Flows: flow numbers as flow_census defines them.
   std::vector<std::uint32_t> flows;
-  /// Flows: the list is complete.
+  /// Flows, flow_handover: the list is complete.
   bool complete = false;
   /// Members: addresses of entries. Fleet_update, ended_target_list: entries
   /// that the receiver forwards the message to.
@@ -116,6 +120,14 @@
   /// Members: the sender has received agent reports long enough to know all
   /// running agents.
   bool all_agents_known = false;
+  /// Flow_handover: number of this part and of all parts; no parts if the seed
+  /// has no handover for the agent.
+  std::uint32_t part = 0;
+  std::uint32_t part_count = 0;
+  /// Flow_handover, handover_request: Unix time of the start of the agent whose
+  /// flows these are or that asks, in milliseconds, by the clock of its
+  /// machine.
+  std::int64_t sender_started_ms = 0;
   /// Deliver, denied, refused: the client's packet; fleet_update:
   /// the encoded update.
   std::string_view payload;
--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -3,6 +3,7 @@
 #include "core/flow_census.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corianderplank {
 namespace {
@@ -23,6 +24,8 @@
 constexpr milliseconds kTargetResponseTimeout = 250ms;
 /// Entries that sent a message within this time are notified of a planned stop.
 constexpr milliseconds kEntryTimeout = 5000ms;
+/// Messages that wait for a handover. Entries repeat what exceeds the limit.
+constexpr std::size_t kMaxDeferredMessages = 512;
 /// Window of a flow: the most packets that an end sends without an
 /// acknowledgement.
 constexpr std::size_t kMaxQueuedPackets = 16;
@@ -56,8 +59,8 @@
       target_start_ms != 0 && target_start_ms != earlier_target_start_ms_ &&
       settings_.started_ms != 0 &&
       target_start_ms > settings_.started_ms - kMinRestartDelay.count();
-  return target_was_absent_ || settings_.first_start || started_with_agent ||
-         now - started_at_ > settings_.longest_flow;
+  return target_was_absent_ || settings_.first_start || handover_complete_ ||
+         started_with_agent || now - started_at_ > settings_.longest_flow;
 }
 
 void packet_agent::OnEntryMessage(time_point now,
@@ -74,6 +77,20 @@
   if (message.slots != 0 && message.service == settings_.service) {
     scheduler_.SetSlots(message.slots);
   }
+  const bool is_search =
+      message.kind == mesh_kind::flow_queries ||
+      message.kind == mesh_kind::list_flows ||
+      (message.kind == mesh_kind::deliver && message.searching);
+  if (awaits_handover_ && is_search) {
+    Defer(entry, message);
+    return;
+  }
+  HandleEntryMessage(now, entry, message);
+}
+
+void packet_agent::HandleEntryMessage(time_point now,
+                                      const endpoint& entry,
+                                      const mesh_message& message) {
   if (message.kind == mesh_kind::deliver) {
     OnDelivery(now, entry, message);
   } else if (message.kind == mesh_kind::flow_queries) {
@@ -87,6 +104,63 @@
   }
 }
 
+void packet_agent::Defer(const endpoint& entry, const mesh_message& message) {
+  if (deferred_.size() < kMaxDeferredMessages) {
+    deferred_.push_back({entry, message, std::string(message.payload)});
+  }
+}
+
+flow_handover packet_agent::HandOver(time_point now) const {
+  flow_handover handover;
+  handover.service = settings_.service;
+  handover.started_ms = settings_.started_ms;
+  handover.complete = KnowsAllFlows(now, 0);
+  handover.flows.reserve(flows_.size());
+  for (const auto& [flow, record] : flows_) {
+    // A flow in any other phase may change at its ends while no agent runs.
+    handover.flows.push_back({flow, record.client_acknowledgement.value_or(0),
+                              record.phase == flow_phase::open
+                                  ? flow_query_result::holds
+                                  : flow_query_result::unknown});
+  }
+  return handover;
+}
+
+void packet_agent::OnHandover(time_point now, const flow_handover& handover) {
+  if (handover.service != settings_.service) {
+    OnNoHandover(now);
+    return;
+  }
+  for (const flow_query& item : handover.flows) {
+    if (flows_.contains(item.flow)) {
+      continue;
+    }
+    flow_record& record = FindOrInsert(now, item.flow);
+    if (item.result == flow_query_result::holds) {
+      SetPhase(record, flow_phase::open);
+      if (item.acknowledgement != 0) {
+        record.client_acknowledgement = item.acknowledgement;
+      }
+    }
+  }
+  handover_complete_ |= handover.complete;
+  awaits_handover_ = false;
+  for (const deferred_message& item : std::exchange(deferred_, {})) {
+    mesh_message message = item.message;
+    message.payload = item.payload;
+    HandleEntryMessage(now, item.entry, message);
+  }
+}
+
+void packet_agent::OnNoHandover(time_point now) {
+  awaits_handover_ = false;
+  for (const deferred_message& item : std::exchange(deferred_, {})) {
+    if (item.message.kind != mesh_kind::deliver) {
+      HandleEntryMessage(now, item.entry, item.message);
+    }
+  }
+}
+
 void packet_agent::OnFlowQueries(time_point now,
                                  const endpoint& entry,
                                  const mesh_message& message) {
@@ -193,7 +267,11 @@
     return;
   }
   if (found == flows_.end()) {
-    if (KnowsAllFlows(now, message.target_start_ms)) {
+    // An entry that names this agent as the holder knows more than a handover
+    // that may be outdated.
+    const bool knows_all = KnowsAllFlows(now, message.target_start_ms) &&
+                           (message.searching || !handover_complete_);
+    if (knows_all) {
       SendReply(now, mesh_kind::denied, entry, flow,
                 message.searching ? std::string_view() : message.payload, false,
                 0);
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -14,6 +14,7 @@
 
 #include "core/circuit_breaker.h"
 #include "core/counters.h"
+#include "core/flow_handover.h"
 #include "core/flow_packet.h"
 #include "core/held_requests.h"
 #include "core/load_average.h"
@@ -94,6 +95,32 @@
   /// @param now current time of the monotonic clock.
   void OnStop(time_point now);
 
+  /// @param now current time of the monotonic clock.
+  /// @return the flows for the agent that is started in this one's place. Valid
+  ///     until the agent accepts a new flow, which it does not after OnStop.
+  flow_handover HandOver(time_point now) const;
+
+  /// Begins to wait for the flows of the agent that ran here before. Until they
+  /// arrive or the wait ends, searches for flows get no reply, since this agent
+  /// could tell the flows of its target only by sending the clients' packets to
+  /// it.
+  void AwaitHandover() { awaits_handover_ = true; }
+
+  /// Takes over the flows of the agent that ran here before, at any time after
+  /// the start, and ends the wait.
+  /// @param now current time of the monotonic clock.
+  /// @param handover that agent's flows.
+  void OnHandover(time_point now, const flow_handover& handover);
+
+  /// Ends the wait for a handover that will not come. Waiting queries get their
+  /// reply; waiting packets are dropped, as the entry repeats them where it
+  /// still needs to.
+  /// @param now current time of the monotonic clock.
+  void OnNoHandover(time_point now);
+
+  /// @return whether the agent waits for a handover.
+  bool IsAwaitingHandover() const { return awaits_handover_; }
+
   /// Records that no target listened on this machine at some time after
   /// `checked_at`. Flows without a packet since then are removed and their
   /// clients get a reset. A target that starts later gets all its packets from
@@ -165,6 +192,18 @@
     flow_address flow;
   };
 
+  /// A message of a search that waits for the handover.
+  struct deferred_message {
+    endpoint entry;
+    mesh_message message;
+    std::string payload;
+  };
+
+  void HandleEntryMessage(time_point now,
+                          const endpoint& entry,
+                          const mesh_message& message);
+  void Defer(const endpoint& entry, const mesh_message& message);
+
   void OnDelivery(time_point now,
                   const endpoint& entry,
                   const mesh_message& message);
@@ -248,6 +287,10 @@
   /// Start time of a target that an entry has known for longer than this agent
   /// has been running.
   std::int64_t earlier_target_start_ms_ = 0;
+  bool awaits_handover_ = false;
+  /// The handover of the agent that ran here before names all flows.
+  bool handover_complete_ = false;
+  std::vector<deferred_message> deferred_;
   std::uint32_t open_flows_ = 0;
   load_average load_;
   request_scheduler scheduler_;
--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -219,6 +219,12 @@
      "changes_too_large",
      "The changes since the last read are too large; the list was read "
      "instead."},
+    {result_code::handover_received, outcome_kind::placement,
+     "handover_received",
+     "A restarted agent got the flows of the agent that ran in its place "
+     "before."},
+    {result_code::handover_missing, outcome_kind::placement, "handover_missing",
+     "A restarted agent got no flows of an earlier agent; it asks its target."},
 };
 
 }  // namespace
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -120,6 +120,8 @@
   source_restored = 738,
   outdated_read = 739,
   changes_too_large = 740,
+  handover_received = 741,
+  handover_missing = 742,
 };
 
 /// One row of the table of codes.
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -7,6 +7,7 @@
 #include "core/agent_registry.h"
 #include "core/entry_membership.h"
 #include "core/fleet_state.h"
+#include "core/flow_handover.h"
 #include "core/reader_schedule.h"
 #include "net/http_server.h"
 #include "net/sleep_clock.h"
@@ -113,6 +114,7 @@
       fleet.Expire(now);
       members.Expire(now);
       registry.Expire(now);
+      handovers.Expire(now);
       SendDrainNotices(now);
       if (AllAgentsReported(now)) {
         fleet.OnAgentsKnown(now);
@@ -336,6 +338,12 @@
                 message->absent);
       return;
     }
+    if (message && datagram.from.port == settings.delivery_port &&
+        (message->kind == mesh_kind::flow_handover ||
+         message->kind == mesh_kind::handover_request)) {
+      OnHandoverMessage(now, datagram.from, *message);
+      return;
+    }
     if (!message || datagram.from.port != settings.peer_port) {
       result_counters.Add(result_code::malformed_message);
       return;
@@ -354,6 +362,12 @@
         peers.SendThroughRelays(*message, message->members);
         OnEnded(now, message->ended, "peer");
         return;
+      case mesh_kind::flow_handover:
+        // Another seed is about to stop; `members` has the agent's machine.
+        if (message->members.size() == 1) {
+          handovers.Add(now, message->members.front(), *message);
+        }
+        return;
       case mesh_kind::fleet_update:
         if (resumed_at == time_point{} ||
             now - resumed_at > kStaleDatagramPeriod) {
@@ -395,6 +409,39 @@
     }
   }
 
+  // Keeps the flows of an agent that ends as planned, and gives them to the
+  // agent that is started in its place.
+  void OnHandoverMessage(time_point now,
+                         const endpoint& agent,
+                         const mesh_message& message) {
+    if (message.kind == mesh_kind::flow_handover) {
+      handovers.Add(now, agent.address, message);
+      return;
+    }
+    std::vector<mesh_message> parts =
+        handovers.PartsFor(now, agent.address, message.sender_started_ms);
+    if (parts.empty()) {
+      mesh_message none;
+      none.kind = mesh_kind::flow_handover;
+      none.service = message.service;
+      parts.push_back(none);
+    }
+    for (const mesh_message& part : parts) {
+      peers.Send(agent, part);
+    }
+  }
+
+  void PassOnHandovers() {
+    for (const mesh_message& part : handovers.Unclaimed(ClockWithSleep())) {
+      for (const endpoint& seed : settings.seeds) {
+        if (seed.address != settings.address) {
+          peers.Send({seed.address, settings.peer_port}, part);
+        }
+      }
+    }
+    peers.Flush();
+  }
+
   void ProcessEarlyAbsences(time_point now) {
     for (const ended_target& ended : fleet.ApplyEarlyAbsences(now)) {
       LogEndedTargets({ended}, "agent");
@@ -614,6 +661,7 @@
   http_server server;
   entry_membership members;
   agent_registry registry;
+  handover_store handovers;
   std::vector<ended_target> pending_ended;
   /// Text of the configuration `compressed_version` as it is sent to peers.
   std::string compressed_text;
@@ -654,6 +702,10 @@
   state_->ReadIfDue();
 }
 
+void fleet_synchronizer::PassOn() {
+  state_->PassOnHandovers();
+}
+
 bool fleet_synchronizer::IsReady() const {
   return state_->IsReady();
 }
--- a/Source/packet/fleet_synchronizer.h
+++ b/Source/packet/fleet_synchronizer.h
@@ -51,6 +51,10 @@
   /// read by a peer that starts later also satisfies the request.
   void RequestConfirmation();
 
+  /// Passes on to the other seeds what only this one may know. Call right
+  /// before a planned end.
+  void PassOn();
+
   /// @return whether both a configuration and a target list are known.
   bool IsReady() const;
 
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -1,5 +1,8 @@
 #include "packet/packet_agent_daemon.h"
 
+#include <set>
+
+#include "core/flow_handover.h"
 #include "core/packet_agent.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
@@ -51,19 +54,28 @@
 /// several probes, since a datagram may be lost.
 constexpr milliseconds kEndedReportDuration = 2000ms;
 
+/// Period of asking the seeds for the flows of the agent that ran here before,
+/// and the time after which the agent does without them.
+constexpr milliseconds kHandoverRequestPeriod = 100ms;
+constexpr milliseconds kHandoverTimeout = 1000ms;
+/// Time between the two times that an ending agent sends its flows: a datagram
+/// may be lost.
+constexpr milliseconds kHandoverRepeatDelay = 100ms;
+
 }  // namespace
 
 struct packet_agent_daemon::state : packet_agent_effects {
   state(const packet_options& options, const packet_format& format)
       : settings(options.settings),
+        started_ms(WallTimeMs()),
         target_socket(loop, settings.outbound, result_counters, nullptr),
         entry_socket(loop,
                      {settings.address, settings.delivery_port},
                      result_counters,
                      nullptr),
         agent(ClockWithSleep(),
-              {ServiceIdOf(settings.service), settings.first_start,
-               WallTimeMs(), settings.longest_flow},
+              {ServiceIdOf(settings.service), settings.first_start, started_ms,
+               settings.longest_flow},
               format,
               *this,
               result_counters),
@@ -137,6 +149,10 @@
             listed_at = ClockWithSleep();
             return;
           }
+          if (message->kind == mesh_kind::flow_handover) {
+            OnHandoverPart(datagram.from, *message);
+            return;
+          }
           agent.OnEntryMessage(ClockWithSleep(), datagram.from, *message);
           ProbeUnresponsiveTarget();
         },
@@ -149,6 +165,8 @@
     });
     started_at = ClockWithSleep();
     if (!settings.first_start) {
+      agent.AwaitHandover();
+      RequestHandover();
       ProbeTargetAfterStart(kInitialProbeDelay);
     }
     loop.After(kFirstProbeDuration, [this] { ReportPresence(); });
@@ -172,6 +190,71 @@
                [this] { ReportPresence(); });
   }
 
+  // Asks until a handover has arrived, every seed has none, or the time is
+  // over.
+  void RequestHandover() {
+    if (!agent.IsAwaitingHandover()) {
+      return;
+    }
+    const time_point now = ClockWithSleep();
+    if (now - started_at > kHandoverTimeout) {
+      EndHandoverWait();
+      return;
+    }
+    mesh_message request;
+    request.kind = mesh_kind::handover_request;
+    request.service = ServiceIdOf(settings.service);
+    request.sender_started_ms = started_ms;
+    SendToSeeds({request});
+    loop.After(kHandoverRequestPeriod, [this] { RequestHandover(); });
+  }
+
+  void OnHandoverPart(const endpoint& seed, const mesh_message& part) {
+    if (handover_taken || settings.first_start) {
+      return;
+    }
+    if (part.part_count == 0) {
+      seeds_without_handover.insert(seed.address);
+      if (agent.IsAwaitingHandover() &&
+          seeds_without_handover.size() >= settings.seeds.size()) {
+        EndHandoverWait();
+      }
+      return;
+    }
+    handover.Add(part);
+    const auto whole = handover.Whole();
+    if (!whole) {
+      return;
+    }
+    handover_taken = true;
+    result_counters.Add(result_code::handover_received);
+    LogEvent(
+        log_level::info, "flows_taken_over",
+        {{"flows", std::to_string(whole->flows.size())},
+         {"complete", whole->complete ? "1" : "0"},
+         {"after_ms", std::to_string((ClockWithSleep() - started_at) / 1ms)}});
+    agent.OnHandover(ClockWithSleep(), *whole);
+  }
+
+  void EndHandoverWait() {
+    result_counters.Add(result_code::handover_missing);
+    LogEvent(
+        log_level::info, "no_flows_taken_over",
+        {{"after_ms", std::to_string((ClockWithSleep() - started_at) / 1ms)}});
+    agent.OnNoHandover(ClockWithSleep());
+    Flush();
+  }
+
+  void SendToSeeds(const std::vector<mesh_message>& messages) {
+    for (const mesh_message& message : messages) {
+      const std::string_view datagram = encoder.Encode(message);
+      for (const endpoint& seed : settings.seeds) {
+        entry_socket.Send({seed.address, settings.peer_port}, datagram);
+      }
+    }
+    entry_socket.Flush();
+  }
+
   // Absence is reported only shortly after the probe that detected it, since a
   // target may start at any time.
   void ReportToSeeds(bool absent) {
@@ -179,11 +262,7 @@
     message.kind = mesh_kind::present;
     message.service = ServiceIdOf(settings.service);
     message.absent = absent;
-    const std::string_view datagram = encoder.Encode(message);
-    for (const endpoint& seed : settings.seeds) {
-      entry_socket.Send({seed.address, settings.peer_port}, datagram);
-    }
-    entry_socket.Flush();
+    SendToSeeds({message});
   }
 
   void OnStop() {
@@ -275,13 +354,32 @@
     const bool idle = target_ended ? reported_for > kEndedReportDuration
                                    : agent.OpenFlows() == 0;
     if (idle || elapsed + kExitReserve > settings.stop_limit) {
-      loop.Stop();
+      HandOverAndExit();
       return;
     }
     loop.After(kStopPollPeriod, [this] { PollStop(); });
   }
 
+  // The flows of a target that has ended have ended with it.
+  void HandOverAndExit() {
+    if (target_ended) {
+      loop.Stop();
+      return;
+    }
+    const flow_handover flows = agent.HandOver(ClockWithSleep());
+    LogEvent(log_level::info, "flows_handed_over",
+             {{"flows", std::to_string(flows.flows.size())},
+              {"complete", flows.complete ? "1" : "0"}});
+    const std::vector<mesh_message> parts = SplitHandover(flows);
+    SendToSeeds(parts);
+    loop.After(kHandoverRepeatDelay, [this, parts] {
+      SendToSeeds(parts);
+      loop.Stop();
+    });
+  }
+
   packet_settings settings;
+  std::int64_t started_ms;
   counters result_counters;
   event_loop loop;
   udp_socket target_socket;
@@ -296,6 +394,9 @@
   time_point listed_at{};
   time_point stop_requested_at{};
   bool stopping = false;
+  handover_assembly handover;
+  bool handover_taken = false;
+  std::set<std::uint32_t> seeds_without_handover;
   /// A probe since the start found that nothing listened at the target's
   /// address.
   bool target_absent = false;
--- a/Source/packet/packet_entry_daemon.cc
+++ b/Source/packet/packet_entry_daemon.cc
@@ -211,6 +211,7 @@
     const auto idle = ClockWithSleep() - last_packet_at.load();
     if ((elapsed > kRouterRemovalTime && idle > kMinIdleBeforeExit) ||
         elapsed + kExitReserve > settings.stop_limit) {
+      synchronizer.PassOn();
       control.Stop();
       return;
     }
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -255,6 +255,9 @@
   table.add_timeout_ms(ToMilliseconds(message.policy.timeout));
   table.add_repeatable(message.policy.repeatable);
   table.add_ended(ended);
+  table.add_part(message.part);
+  table.add_part_count(message.part_count);
+  table.add_sender_started_ms(message.sender_started_ms);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -280,7 +283,7 @@
   const auto* table = VerifyRoot<schema::Mesh>(bytes);
   if (table == nullptr ||
       table->kind() < static_cast<std::uint8_t>(mesh_kind::deliver) ||
-      table->kind() > static_cast<std::uint8_t>(mesh_kind::ended_target_list) ||
+      table->kind() > static_cast<std::uint8_t>(mesh_kind::handover_request) ||
       !IsAligned(table->unlisted()) || !IsAligned(table->ended()) ||
       !IsAligned(table->questions())) {
     return std::nullopt;
@@ -326,6 +329,9 @@
   }
   message.round = table->round();
   message.complete = table->complete();
+  message.part = table->part();
+  message.part_count = table->part_count();
+  message.sender_started_ms = table->sender_started_ms();
   message.absent = table->absent();
   message.known_for = milliseconds(table->known_for_ms());
   message.pause = milliseconds(table->pause_ms());
--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "core/flow_handover.h"
 #include "net/http_client.h"
 #include "synchronizer_fixture.h"
 
@@ -255,5 +256,65 @@
   CHECK_FALSE(second.GivesNewFlowsTo("a"));
 }
 
+/// @return the parts of the handover for an agent that started at 2000 ms,
+/// which it requests from an entry until they arrive; empty if none do.
+std::vector<mesh_message> RequestHandover(test_agent& agent,
+                                          std::uint8_t entry) {
+  mesh_message request;
+  request.kind = mesh_kind::handover_request;
+  request.sender_started_ms = 2000;
+  std::vector<mesh_message> parts;
+  WaitUntil(
+      [&] {
+        agent.SendTo(entry, request);
+        std::this_thread::sleep_for(50ms);
+        for (const mesh_message& message : agent.TakeReceived()) {
+          if (message.kind == mesh_kind::flow_handover &&
+              message.part_count > 0) {
+            parts.push_back(message);
+          }
+        }
+        return !parts.empty();
+      },
+      1s);
+  return parts;
+}
+
+/// @return a handover with one flow, of an agent that started at 1000 ms.
+mesh_message OneFlow() {
+  flow_handover handover;
+  handover.started_ms = 1000;
+  handover.complete = true;
+  handover.flows = {{{{1, 2}, {3, 4}}, 5, flow_query_result::holds}};
+  return SplitHandover(handover).front();
+}
+
+TEST_CASE("a seed gives an agent's flows to its successor") {
+  test_store store;
+  test_entry seed(store, 1);
+  test_agent agent(50);
+  test_agent other(51);
+  agent.SendTo(1, OneFlow());
+  const std::vector<mesh_message> parts = RequestHandover(agent, 1);
+  REQUIRE_FALSE(parts.empty());
+  REQUIRE(parts[0].queries.size() == 1);
+  CHECK(parts[0].queries[0].flow == flow_address{{1, 2}, {3, 4}});
+  CHECK(RequestHandover(other, 1).empty());
+}
+
+// Guards against flows that nobody knows since agent and seed are restarted one
+// right after the other.
+TEST_CASE("a seed that ends as planned passes on the flows that it keeps") {
+  test_store store;
+  test_entry first(store, 1);
+  test_entry second(store, 2);
+  test_agent agent(50);
+  agent.SendTo(1, OneFlow());
+  std::this_thread::sleep_for(200ms);
+  first.Stop();
+  std::this_thread::sleep_for(200ms);
+  CHECK_FALSE(RequestHandover(agent, 2).empty());
+}
+
 }  // namespace
 }  // namespace corianderplank
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "net/sleep_clock.h"
+#include "wire/mesh_codec.h"
 
 namespace corianderplank {
 namespace {
@@ -199,6 +200,13 @@
   return snapshot_;
 }
 
+void test_entry::Stop() {
+  loop_.Post([this] {
+    synchronizer_.PassOn();
+    loop_.Stop();
+  });
+}
+
 void test_entry::ReloadSettings() {
   loop_.Post([this] { synchronizer_.SetSeeds(settings_.seeds); });
 }
@@ -223,6 +231,43 @@
   return snapshot == nullptr ? 0 : snapshot->configuration->version;
 }
 
+test_agent::test_agent(std::uint8_t number)
+    : socket_(loop_,
+              {ParseEndpoint(AddressOf(number) + ":1").address, kDeliveryPort},
+              counters_,
+              nullptr),
+      thread_([this] {
+        socket_.Receive(
+            [this](const received_datagram& datagram) {
+              if (auto message = DecodeMesh(datagram.bytes)) {
+                message->payload = {};
+                const std::lock_guard lock(mutex_);
+                received_.push_back(std::move(*message));
+              }
+            },
+            [] {});
+        loop_.Run();
+      }) {}
+
+test_agent::~test_agent() {
+  loop_.Stop();
+  thread_.join();
+}
+
+void test_agent::SendTo(std::uint8_t entry, const mesh_message& message) {
+  loop_.Post([this, entry, message] {
+    mesh_encoder encoder;
+    socket_.Send({ParseEndpoint(AddressOf(entry) + ":1").address, kPeerPort},
+                 encoder.Encode(message));
+    socket_.Flush();
+  });
+}
+
+std::vector<mesh_message> test_agent::TakeReceived() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(received_, {});
+}
+
 bool WaitUntil(const std::function<bool()>& condition,
                std::chrono::milliseconds limit) {
   const auto end = std::chrono::steady_clock::now() + limit;
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -15,6 +15,8 @@
 #include <thread>
 #include <vector>
 
+#include "core/mesh_message.h"
+#include "net/udp_socket.h"
 #include "packet/fleet_synchronizer.h"
 
 namespace corianderplank {
@@ -139,6 +141,9 @@
   /// Stops the entry for good at once, as FreezeAfterBroadcast does.
   void Freeze() { loop_.Stop(); }
 
+  /// Ends the entry as planned: it passes on what only it knows, and stops.
+  void Stop();
+
   /// Applies the settings again, as after a reload.
   void ReloadSettings();
 
@@ -185,6 +190,31 @@
   std::thread thread_;
 };
 
+/// An agent's socket at a loopback address, for messages between it and seeds.
+class test_agent {
+ public:
+  /// @param number last byte of its loopback address.
+  explicit test_agent(std::uint8_t number);
+  ~test_agent();
+  test_agent(const test_agent&) = delete;
+  test_agent& operator=(const test_agent&) = delete;
+
+  /// @param entry last byte of the loopback address of the entry.
+  /// @param message message to send; without a payload.
+  void SendTo(std::uint8_t entry, const mesh_message& message);
+
+  /// @return the messages that have arrived since the last call.
+  std::vector<mesh_message> TakeReceived();
+
+ private:
+  event_loop loop_;
+  counters counters_;
+  udp_socket socket_;
+  std::mutex mutex_;
+  std::vector<mesh_message> received_;
+  std::thread thread_;
+};
+
 /// @param condition evaluated every few milliseconds.
 /// @param limit time after which the condition is given up.
 /// @return whether the condition became true within the limit.
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -60,6 +60,9 @@
   message.known_for = 28ms;
   message.pause = 29ms;
   message.ended = {{26, {27, 28}}};
+  message.part = 30;
+  message.part_count = 31;
+  message.sender_started_ms = 32;
   message.payload = "payload";
   return message;
 }
@@ -102,6 +105,9 @@
   CHECK(message->round == 23);
   CHECK(message->flows == std::vector<std::uint32_t>{24, 25});
   CHECK(message->complete);
+  CHECK(message->part == 30);
+  CHECK(message->part_count == 31);
+  CHECK(message->sender_started_ms == 32);
   CHECK(message->payload == "payload");
 }
 
@@ -259,7 +265,7 @@
 TEST_CASE("every encoded message decodes, at each length and alignment") {
   mesh_encoder encoder;
   for (int kind = static_cast<int>(mesh_kind::deliver);
-       kind <= static_cast<int>(mesh_kind::ended_target_list); ++kind) {
+       kind <= static_cast<int>(mesh_kind::handover_request); ++kind) {
     for (const std::size_t rows : {0, 1, 40}) {
       for (std::size_t payload = 0; payload < kAlignments; ++payload) {
         mesh_message message;
