Let each copy of an opening packet follow the route in force

Cause: an entry looked at the route for the first copy of an opening packet only.

Change: a copy repeats the opening only while the route names the service of the target that it would go to; otherwise it is handled as the first packet of a new flow: a reset without a route, else the new service.

Result: the new case of packet_entry_test failed before in both variants (a delivery to the old service, no reset) and passes; core_test passes.

--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -200,6 +200,13 @@
   /// Buffers a packet until there is a configuration.
   void BufferEarlyPacket(time_point now, const flow_packet& packet);
   void OnOpeningPacket(time_point now, const flow_packet& packet);
+  /// Handles a copy of an opening packet.
+  /// @param route the route in force; null for none.
+  /// @return whether the copy was handled; otherwise it opens the flow anew.
+  bool RepeatOpening(time_point now,
+                     const flow_packet& packet,
+                     const fleet_route* route,
+                     flow_record& record);
   void OnFlowPacket(time_point now, const flow_packet& packet);
   /// Places each flow whose target did not respond within the timeout on
   /// another target.
--- a/Source/core/packet_entry_opening.cc
+++ b/Source/core/packet_entry_opening.cc
@@ -30,35 +30,56 @@
   return true;
 }
 
+bool packet_entry::RepeatOpening(time_point now,
+                                 const flow_packet& packet,
+                                 const fleet_route* route,
+                                 flow_record& record) {
+  const flow_address flow = packet.FromClient();
+  record.last_packet_at = now;
+  if (record.holder != 0 || record.pending_search != nullptr) {
+    // A delayed copy: the client has already opened the flow.
+    return true;
+  }
+  // The route may have changed since the previous copy.
+  const auto is_named = [&](service_id service) {
+    return route != nullptr &&
+           std::any_of(route->shares.begin(), route->shares.end(),
+                       [&](const traffic_share& item) {
+                         return item.service == service && item.weight > 0;
+                       });
+  };
+  if (!record.accepted.empty()) {
+    const machine_address machine = record.accepted.back().machine;
+    const fleet_target* target = index_->FindTarget(machine);
+    if (target == nullptr || !is_named(target->service)) {
+      return false;
+    }
+    RecordDecision(now, result_code::opening_copied, flow, machine);
+    DeliverOpening(flow, machine, packet.since_first_copy,
+                   /*must_accept=*/true, packet.bytes);
+    return true;
+  }
+  if (record.pending_opening == nullptr ||
+      !is_named(record.pending_opening->service)) {
+    return false;
+  }
+  counters_.Add(result_code::opening_copied);
+  record.pending_opening->packet = packet.bytes;
+  RetryOpening(now, flow, record);
+  return true;
+}
+
 void packet_entry::OnOpeningPacket(time_point now, const flow_packet& packet) {
   const flow_address flow = packet.FromClient();
   if (!CanPlaceFlows(now, flow)) {
     return;
   }
+  const fleet_route* route = index_->FindRoute(flow.service);
   const auto found = flows_.find(flow);
-  if (found != flows_.end() && packet.copies > 0) {
-    flow_record& existing = found->second;
-    existing.last_packet_at = now;
-    if (existing.holder != 0 || existing.pending_search != nullptr) {
-      // A delayed copy: the client has already opened the flow.
-      return;
-    }
-    if (!existing.accepted.empty()) {
-      RecordDecision(now, result_code::opening_copied, flow,
-                     existing.accepted.back().machine);
-      DeliverOpening(flow, existing.accepted.back().machine,
-                     packet.since_first_copy,
-                     /*must_accept=*/true, packet.bytes);
-      return;
-    }
-    if (existing.pending_opening != nullptr) {
-      counters_.Add(result_code::opening_copied);
-      existing.pending_opening->packet = packet.bytes;
-      RetryOpening(now, flow, existing);
-      return;
-    }
+  if (found != flows_.end() && packet.copies > 0 &&
+      RepeatOpening(now, packet, route, found->second)) {
+    return;
   }
-  const fleet_route* route = index_->FindRoute(flow.service);
   if (route == nullptr) {
     if (IsSnapshotFresh(now)) {
       ResetFlow(now, result_code::reset_no_route, flow, packet.acknowledgement);
--- a/Tests/core/packet_entry_test.cc
+++ b/Tests/core/packet_entry_test.cc
@@ -74,6 +74,48 @@
   CHECK(test.effects.deliveries.size() == 3);
 }
 
+// Guards against new flows on a route that was dropped, or to a service that it
+// no longer names, when only the first copy of the opening packet was earlier.
+TEST_CASE("each copy of an opening packet follows the route in force") {
+  fixture test(2, 2);
+  test.SendOpening(kStart);
+  REQUIRE(test.effects.deliveries.size() == 1);
+  const machine_address first = test.effects.deliveries[0].machine;
+  bool is_accepted = false;
+  SUBCASE("no target has accepted the flow") {}
+  SUBCASE("a target has accepted the flow") {
+    is_accepted = true;
+    test.SendAgentMessage(kStart + 1ms, first, mesh_kind::opened, 500);
+  }
+  auto configuration =
+      std::make_shared<fleet_configuration>(*test.snapshot.configuration);
+  configuration->version = 2;
+  SUBCASE("the route is as before") {
+    test.snapshot.configuration = configuration;
+    test.Confirm(kStart + 100ms);
+    test.SendOpening(kStart + 200ms, 1);
+    REQUIRE(test.effects.deliveries.size() == 2);
+    CHECK((test.effects.deliveries[1].machine == first) == is_accepted);
+    CHECK(test.effects.deliveries[1].service == kService);
+  }
+  SUBCASE("the route is dropped") {
+    configuration->routes.clear();
+    test.snapshot.configuration = configuration;
+    test.Confirm(kStart + 100ms);
+    test.SendOpening(kStart + 200ms, 1);
+    CHECK(test.effects.deliveries.size() == 1);
+    CHECK(test.effects.resets.size() == 1);
+  }
+  SUBCASE("the route names another service") {
+    configuration->routes[kFlow.service].shares = {{kOtherService, 1}};
+    test.snapshot.configuration = configuration;
+    test.Confirm(kStart + 100ms);
+    test.SendOpening(kStart + 200ms, 1);
+    REQUIRE(test.effects.deliveries.size() == 2);
+    CHECK(test.effects.deliveries[1].service == kOtherService);
+  }
+}
+
 TEST_CASE("a new target is not flooded with flows before its load is known") {
   // Twenty entries have the same snapshot; one of ten targets was just added.
   constexpr int kEntries = 20;
