Take over what older entries know of removed targets

Cause: an entry that starts reads the list, which lacks the targets whose entries have expired. The seeds then told it that all agents were known, since an agent whose target is listed reports nothing for 20 s, though its target may have been removed from the list meanwhile. A seed that was restarted itself concluded the same after 1 s. Both then reset open flows whose living holder they had never heard of.

Change: greetings and their replies carry the length of the sender's history, the time since the earliest list that its state includes. An entry with a shorter one fetches the targets (without the configuration) of the entry that told it, and neither trusts nor says that all agents are known before it has them. A complete state that is older than the own one is ignored, as it would add removed targets again.

Why it works: a row that was removed within the longest life of a flow is in the state of every entry that was running then, and now in those that started later, whichever of them they ask first.

Result: the new case of packet_test, for an entry and for a seed, failed without the fetch (no target known) and passes.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -810,7 +810,8 @@
     VT_UNSETTLED = 32,
     VT_IGNORED_ROWS = 34,
     VT_COMPRESSED_CONFIGURATION = 36,
-    VT_CONFIGURATION_BYTES = 38
+    VT_CONFIGURATION_BYTES = 38,
+    VT_HISTORY_MS = 40
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -866,6 +867,9 @@
   uint32_t configuration_bytes() const {
     return GetField<uint32_t>(VT_CONFIGURATION_BYTES, 0);
   }
+  uint32_t history_ms() const {
+    return GetField<uint32_t>(VT_HISTORY_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -891,6 +895,7 @@
            VerifyOffset(verifier, VT_COMPRESSED_CONFIGURATION) &&
            verifier.VerifyVector(compressed_configuration()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_BYTES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_HISTORY_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -953,6 +958,9 @@
   void add_configuration_bytes(uint32_t configuration_bytes) {
     fbb_.AddElement<uint32_t>(Belief::VT_CONFIGURATION_BYTES, configuration_bytes, 0);
   }
+  void add_history_ms(uint32_t history_ms) {
+    fbb_.AddElement<uint32_t>(Belief::VT_HISTORY_MS, history_ms, 0);
+  }
   explicit BeliefBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -983,7 +991,8 @@
     bool unsettled = false,
     bool ignored_rows = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed_configuration = 0,
-    uint32_t configuration_bytes = 0) {
+    uint32_t configuration_bytes = 0,
+    uint32_t history_ms = 0) {
   BeliefBuilder builder_(_fbb);
   builder_.add_configuration_epoch(configuration_epoch);
   builder_.add_epoch(epoch);
@@ -992,6 +1001,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_revision(revision);
   builder_.add_base_revision(base_revision);
+  builder_.add_history_ms(history_ms);
   builder_.add_configuration_bytes(configuration_bytes);
   builder_.add_compressed_configuration(compressed_configuration);
   builder_.add_ended(ended);
@@ -1025,7 +1035,8 @@
     bool unsettled = false,
     bool ignored_rows = false,
     const std::vector<uint8_t> *compressed_configuration = nullptr,
-    uint32_t configuration_bytes = 0) {
+    uint32_t configuration_bytes = 0,
+    uint32_t history_ms = 0) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<corianderplank::schema::Target>>(*targets) : 0;
   auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
@@ -1049,7 +1060,8 @@
       unsettled,
       ignored_rows,
       compressed_configuration__,
-      configuration_bytes);
+      configuration_bytes,
+      history_ms);
 }
 
 }  // namespace schema
--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -79,6 +79,7 @@
                           const source_revision& revision) {
   if (confirmed_at_ == time_point{}) {
     complete_since_ = first_start_ ? time_point{} : now;
+    history_since_ = complete_since_;
   } else if (began - confirmed_at_ > kUnobservedAfter) {
     complete_since_ = now;
   }
@@ -261,8 +262,12 @@
   if (update.revision.epoch < revision_.epoch) {
     return update_result::outdated;
   }
-  DetectSourceOutage(now, now - update.age);
   const bool is_complete = !update.base_revision.IsSet();
+  if (is_complete && update.revision < revision_) {
+    // Targets that have been removed since would be added again.
+    return update_result::outdated;
+  }
+  DetectSourceOutage(now, now - update.age);
   if (is_complete) {
     DetectRestoration(now, update.revision);
     has_ignored_rows_ =
@@ -296,10 +301,22 @@
     RecordEndedTargets(now, update.ended);
     const time_point since = now - update.holders_known_for;
     complete_since_ = first ? since : std::min(complete_since_, since);
+    const time_point history_since = now - update.history;
+    history_since_ =
+        first ? history_since : std::min(history_since_, history_since);
   }
   return update_result::applied;
 }
 
+milliseconds fleet_state::HistoryLength(time_point now) const {
+  if (confirmed_at_ == time_point{}) {
+    return 0ms;
+  }
+  return std::min(
+      std::chrono::duration_cast<milliseconds>(now - history_since_),
+      limits_.longest_flow);
+}
+
 milliseconds fleet_state::HoldersKnownFor(time_point now) const {
   if (confirmed_at_ == time_point{}) {
     return 0ms;
@@ -318,6 +335,7 @@
   update.revision = revision_;
   update.age = std::chrono::duration_cast<milliseconds>(now - confirmed_at_);
   update.holders_known_for = HoldersKnownFor(now);
+  update.history = HistoryLength(now);
   if (configuration_ != nullptr) {
     update.configuration_version = configuration_->version;
     update.configuration_revision = configuration_->revision;
--- a/Source/core/fleet_state.h
+++ b/Source/core/fleet_state.h
@@ -173,6 +173,14 @@
   /// @param now current time of the monotonic clock.
   bool KnowsAllHolders(time_point now) const;
 
+  /// A process that has just started does not know which targets were removed
+  /// before, unless it got them from another one.
+  /// @param now current time of the monotonic clock.
+  /// @return time since the earliest list that this state includes was read, by
+  ///     this process or by those whose complete states it has applied; at most
+  ///     the longest life of a flow, 0 without a list.
+  std::chrono::milliseconds HistoryLength(time_point now) const;
+
   /// Evicts targets that were removed too long ago to hold a flow.
   /// @param now current time of the monotonic clock.
   void Expire(time_point now);
@@ -249,6 +257,8 @@
   time_point confirmed_at_{};
   /// Time since which no target was added or removed unnoticed.
   time_point complete_since_{};
+  /// When the earliest list that this state includes was read.
+  time_point history_since_{};
   /// End of the recovery grace period.
   time_point recovery_until_{};
   /// End of the period in which targets write again to a restored source.
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -82,7 +82,7 @@
   /// milliseconds, by the clock of its machine; 0 if unknown.
   std::int64_t target_start_ms = 0;
   /// Deliver, flow_queries, list_flows: how long the entry has known this
-  /// target.
+  /// target. Hello, members: length of the sender's history.
   std::chrono::milliseconds known_for{0};
   /// Deliver: slots of the target and the request policy of the flow's route.
   std::uint32_t slots = 0;
@@ -159,6 +159,8 @@
   std::vector<ended_target> ended;
   /// How long the sender has known all flow holders.
   std::chrono::milliseconds holders_known_for{0};
+  /// Length of the sender's history, as fleet_state::HistoryLength defines it.
+  std::chrono::milliseconds history{0};
 };
 
 }  // namespace corianderplank
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -63,6 +63,14 @@
 /// they may have waited in the socket while it was suspended.
 constexpr milliseconds kStaleDatagramPeriod = 200ms;
 
+/// Histories of entries that started together differ by less.
+constexpr milliseconds kHistoryTolerance = 1000ms;
+/// An entry that has said that its history is longer is waited for as long as
+/// it says so again within this time.
+constexpr milliseconds kLongerHistoryTimeout = 5000ms;
+/// Period of fetching the targets of such an entry.
+constexpr milliseconds kHistoryFetchPeriod = 300ms;
+
 }  // namespace
 
 struct fleet_synchronizer::state {
@@ -317,6 +325,7 @@
     message.kind = mesh_kind::hello;
     // In a hello, `round` is the digest of the known ended targets.
     message.round = fleet.EndedTargets().Digest();
+    message.known_for = fleet.HistoryLength(ClockWithSleep());
     for (const endpoint& seed : settings.seeds) {
       if (seed.address != settings.address) {
         peers.Send({seed.address, settings.peer_port}, message);
@@ -352,9 +361,11 @@
     schedule.SetPeers(members.Count());
     switch (message->kind) {
       case mesh_kind::hello:
+        OnPeerHistory(now, datagram.from.address, message->known_for);
         OnHello(datagram.from, message->round);
         return;
       case mesh_kind::members:
+        OnPeerHistory(now, datagram.from.address, message->known_for);
         OnMembers(now, *message);
         return;
       case mesh_kind::ended_target_list:
@@ -493,7 +504,7 @@
       fleet.RecordUnlistedAgent(now, agent);
     }
     OnEnded(now, message.ended, "seed");
-    if (message.all_agents_known) {
+    if (message.all_agents_known && !LacksHistory(now)) {
       if (!fleet.KnowsAllHolders(now)) {
         LogEvent(log_level::info, "holders_known", {{"source", "seed"}});
       }
@@ -506,7 +517,31 @@
     const bool is_seed = std::any_of(
         settings.seeds.begin(), settings.seeds.end(),
         [&](const endpoint& seed) { return seed.address == settings.address; });
-    return is_seed && registry.HasSettled(now, fleet);
+    return is_seed && !LacksHistory(now) && registry.HasSettled(now, fleet);
+  }
+
+  // Agents that have been listed report nothing for a while, so targets that
+  // were removed shortly before this process started are known only to entries
+  // that have been running for longer.
+  void OnPeerHistory(time_point now,
+                     member_address peer,
+                     milliseconds history) {
+    if (history <= fleet.HistoryLength(now) + kHistoryTolerance) {
+      return;
+    }
+    longest_history_since = std::min(longest_history_since, now - history);
+    longer_history_heard_at = now;
+    if (now - history_fetched_at > kHistoryFetchPeriod) {
+      history_fetched_at = now;
+      fetcher.Fetch(peer, fleet_update_fetcher::fetched_part::targets);
+    }
+  }
+
+  bool LacksHistory(time_point now) const {
+    return longer_history_heard_at != time_point{} &&
+           now - longer_history_heard_at < kLongerHistoryTimeout &&
+           now - longest_history_since >
+               fleet.HistoryLength(now) + kHistoryTolerance;
   }
 
   // Replies with the unlisted agents, and in a second datagram, since either
@@ -516,6 +551,7 @@
     const time_point now = ClockWithSleep();
     mesh_message agents_reply;
     agents_reply.kind = mesh_kind::members;
+    agents_reply.known_for = fleet.HistoryLength(now);
     agents_reply.unlisted = registry.Unlisted();
     agents_reply.all_agents_known =
         AllAgentsReported(now) &&
@@ -602,10 +638,12 @@
   void OnFetched(const fleet_update& update) {
     const time_point now = ClockWithSleep();
     const source_revision previous = fleet.Revision();
-    InstallConfiguration(
-        source.ParseConfiguration(update.configuration,
-                                  update.configuration_revision),
-        "peer");
+    if (!update.configuration.empty()) {
+      InstallConfiguration(
+          source.ParseConfiguration(update.configuration,
+                                    update.configuration_revision),
+          "peer");
+    }
     if (!update.compressed_configuration.empty() &&
         update.configuration_version == fleet.ConfigurationVersion()) {
       // Spares this entry the compression when its peers ask in turn.
@@ -626,7 +664,9 @@
       response.status = 503;
     } else {
       fleet_update update = fleet.UpdateSince(ClockWithSleep(), {});
-      update.configuration = fleet.Configuration()->source;
+      if (!request.query.contains("targets_only")) {
+        update.configuration = fleet.Configuration()->source;
+      }
       // Builds that know only the plain text do not ask.
       if (request.query.contains("compressed")) {
         update.compressed_configuration = CompressedConfiguration();
@@ -672,6 +712,10 @@
   /// The next read must be a full one, since the source lost the history.
   bool full_read_needed = false;
   bool source_failing = false;
+  /// Start of the longest history that a peer has told, and when one last did.
+  time_point longest_history_since = time_point::max();
+  time_point longer_history_heard_at{};
+  time_point history_fetched_at{};
   /// Role that was logged last.
   bool logged_as_reader = false;
 };
--- a/Source/packet/fleet_update_fetcher.cc
+++ b/Source/packet/fleet_update_fetcher.cc
@@ -32,7 +32,7 @@
       counters_(counters),
       on_fetched_(std::move(on_fetched)) {}
 
-void fleet_update_fetcher::Fetch(member_address peer) {
+void fleet_update_fetcher::Fetch(member_address peer, fetched_part part) {
   if (fetching_) {
     return;
   }
@@ -42,7 +42,8 @@
     client = std::make_unique<http_client>(loop_, endpoint{peer, port_});
   }
   client_request request;
-  request.target = "/belief?compressed=1";
+  request.target = part == fetched_part::targets ? "/belief?targets_only=1"
+                                                 : "/belief?compressed=1";
   request.timeout = kFetchTimeout;
   request.transfer_limit = kTransferLimit;
   const time_point started_at = ClockWithSleep();
--- a/Source/packet/fleet_update_fetcher.h
+++ b/Source/packet/fleet_update_fetcher.h
@@ -34,9 +34,16 @@
                        counters& counters,
                        fleet_update_callback on_fetched);
 
+  /// What a fetch asks for.
+  enum class fetched_part : std::uint8_t {
+    everything,
+    targets,  ///< Without the text of the configuration.
+  };
+
   /// Starts a fetch unless one is running.
   /// @param peer address of the peer to query.
-  void Fetch(member_address peer);
+  /// @param part what to ask for; peers of older builds send everything.
+  void Fetch(member_address peer, fetched_part part = fetched_part::everything);
 
   /// Schedules a fetch from a relay after a delay, since the relay fetches the
   /// same state at this moment. Ignored while another one is scheduled.
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -369,6 +369,7 @@
   table.add_configuration_revision(update.configuration_revision.number);
   table.add_configuration_epoch(update.configuration_revision.epoch);
   table.add_holders_known_ms(ToMilliseconds(update.holders_known_for));
+  table.add_history_ms(ToMilliseconds(update.history));
   table.add_configuration(configuration);
   table.add_compressed_configuration(compressed);
   table.add_configuration_bytes(
@@ -408,6 +409,7 @@
   update.configuration_revision = {table->configuration_revision(),
                                    table->configuration_epoch()};
   update.holders_known_for = milliseconds(table->holders_known_ms());
+  update.history = milliseconds(table->history_ms());
   update.configuration = std::string(ViewOf(table->configuration()));
   update.compressed_configuration =
       std::string(ViewOf(table->compressed_configuration()));
--- a/Tests/core/planned_restarts_test.cc
+++ b/Tests/core/planned_restarts_test.cc
@@ -441,7 +441,8 @@
     if (!holders_.contains(flow)) {
       return;
     }
-    misdelivery& item = misdeliveries_.try_emplace(flow, now_, 0).first->second;
+    misdelivery& item =
+        misdeliveries_.try_emplace(flow, misdelivery{now_, 0}).first->second;
     ++item.count;
     most_misdelivered_ = std::max(most_misdelivered_, item.count);
     if (item.count >= kMaxMisdelivered &&
--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -256,6 +256,38 @@
   CHECK_FALSE(second.GivesNewFlowsTo("a"));
 }
 
+// Guards against resets of live flows by an entry that starts while the entries
+// of their targets are missing from the store.
+TEST_CASE("an entry that starts learns of the targets removed before") {
+  test_store store;
+  store.PutConfiguration(3);
+  store.PutTarget("a", 1, target_state::ready);
+  test_entry seed(store, 1);
+  test_entry second(store, 2);
+  REQUIRE(WaitUntil(
+      [&] { return seed.GivesNewFlowsTo("a") && second.GivesNewFlowsTo("a"); },
+      3s));
+  store.RemoveTarget("a");
+  REQUIRE(WaitUntil([&] { return !seed.GivesNewFlowsTo("a"); }, 3s));
+  std::uint8_t number = 4;
+  SUBCASE("an entry") {}
+  SUBCASE("a seed") {
+    number = 3;
+  }
+  const test_entry started(store, number, test_entry::peer_fetches::served,
+                           /*first_start=*/false);
+  REQUIRE(WaitUntil(
+      [&] {
+        const auto snapshot = started.Snapshot();
+        return snapshot != nullptr && snapshot->knows_all_holders;
+      },
+      5s));
+  const auto snapshot = started.Snapshot();
+  REQUIRE(snapshot->targets.size() == 1);
+  CHECK(snapshot->targets[0].id == TargetIdOf("a"));
+  CHECK_FALSE(started.GivesNewFlowsTo("a"));
+}
+
 /// @return the parts of the handover for an agent that started at 2000 ms,
 /// which it requests from an entry until they arrive; empty if none do.
 std::vector<mesh_message> RequestHandover(test_agent& agent,
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -24,7 +24,8 @@
 }
 
 packet_settings MakeSettings(std::uint8_t number,
-                             test_entry::peer_fetches fetches) {
+                             test_entry::peer_fetches fetches,
+                             bool first_start) {
   packet_settings settings;
   settings.name = "entry-" + std::to_string(number);
   settings.address = ParseEndpoint(AddressOf(number) + ":1").address;
@@ -36,7 +37,7 @@
                                        ? kFleetStatePort
                                        : kUnservedPort};
   settings.longest_flow = 60s;
-  settings.first_start = true;
+  settings.first_start = first_start;
   for (int seed = 1; seed <= kSeeds; ++seed) {
     settings.seeds.push_back(
         ParseEndpoint(AddressOf(seed) + ":" + std::to_string(kFleetStatePort)));
@@ -80,6 +81,13 @@
   target.revision = {++content_.revision, content_.epoch};
 }
 
+void test_store::RemoveTarget(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  fleet_target& target = content_.targets.at(name);
+  target.removed = true;
+  target.revision = {++content_.revision, content_.epoch};
+}
+
 test_store::content test_store::Copy() const {
   const std::lock_guard lock(mutex_);
   return content_;
@@ -107,7 +115,9 @@
     result.configuration = content.configuration;
   }
   for (const auto& [name, target] : content.targets) {
-    if (target.revision.number > after.number) {
+    // A list has no rows of removed targets, changes do.
+    if (target.revision.number > after.number &&
+        (after.IsSet() || !target.removed)) {
       result.targets.push_back(target);
     }
   }
@@ -161,8 +171,9 @@
 
 test_entry::test_entry(test_store& store,
                        std::uint8_t number,
-                       peer_fetches fetches)
-    : settings_(MakeSettings(number, fetches)),
+                       peer_fetches fetches,
+                       bool first_start)
+    : settings_(MakeSettings(number, fetches, first_start)),
       client_(loop_, store),
       synchronizer_(loop_,
                     settings_,
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -44,6 +44,10 @@
                  std::uint64_t report_number,
                  target_state reported);
 
+  /// Removes a target, as after its entry has expired.
+  /// @param name its name.
+  void RemoveTarget(const std::string& name);
+
   /// @return a copy of the present content.
   content Copy() const;
 
@@ -124,9 +128,11 @@
   /// @param store the store that it reads.
   /// @param number last byte of its loopback address; entries 1 to 3 are seeds.
   /// @param fetches whether its fetches from peers are answered.
+  /// @param first_start whether the whole system starts for the first time.
   test_entry(test_store& store,
              std::uint8_t number,
-             peer_fetches fetches = peer_fetches::served);
+             peer_fetches fetches = peer_fetches::served,
+             bool first_start = true);
   ~test_entry();
   test_entry(const test_entry&) = delete;
   test_entry& operator=(const test_entry&) = delete;
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -165,6 +165,7 @@
   update.configuration_revision = {8, 13};
   update.configuration = "text";
   update.holders_known_for = 5000ms;
+  update.history = 6000ms;
   fleet_target item;
   item.id = {1};
   item.address = {2, 3};
@@ -194,6 +195,7 @@
   CHECK(back->configuration_revision == source_revision(8, 13));
   CHECK(back->configuration == "text");
   CHECK(back->holders_known_for == 5000ms);
+  CHECK(back->history == 6000ms);
   REQUIRE(back->targets.size() == 1);
   const fleet_target& target = back->targets[0];
   CHECK(target.id.value == 1);
