Start an entry from a peer's state while the store is silent

Cause: an entry that starts without the store's reply asked a peer only after each failed read of its own: 0.9 s for the first one, then once a retry, in rotation, so that it could meet peers that were starting, too.

Change: 0.3 s after its start, or once its read has failed, an entry without a state fetches that of the first entry that tells a longer history, in its greeting or in the reply.

The new case of packet_test, whose store never replies, failed before.

--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -68,7 +68,10 @@
 /// An entry that has said that its history is longer is waited for as long as
 /// it says so again within this time.
 constexpr milliseconds kLongerHistoryTimeout = 5000ms;
-/// Period of fetching the targets of such an entry.
+/// Time that the first read of the source takes as a rule. Afterwards the state
+/// is fetched from a peer.
+constexpr milliseconds kFirstReadTime = 300ms;
+/// Period of fetching from an entry with a longer history.
 constexpr milliseconds kHistoryFetchPeriod = 300ms;
 
 }  // namespace
@@ -98,7 +101,8 @@
                }) {}
 
   void Start() {
-    last_tick_at = ClockWithSleep();
+    started_at = ClockWithSleep();
+    last_tick_at = started_at;
     registry.Start(last_tick_at);
     peers.Receive(
         [this](const received_datagram& datagram) { OnDatagram(datagram); });
@@ -531,9 +535,13 @@
     }
     longest_history_since = std::min(longest_history_since, now - history);
     longer_history_heard_at = now;
-    if (now - history_fetched_at > kHistoryFetchPeriod) {
+    const bool may_read_soon =
+        !IsReady() && !source_failing && now - started_at < kFirstReadTime;
+    if (now - history_fetched_at > kHistoryFetchPeriod && !may_read_soon) {
       history_fetched_at = now;
-      fetcher.Fetch(peer, fleet_update_fetcher::fetched_part::targets);
+      fetcher.Fetch(peer, IsReady()
+                              ? fleet_update_fetcher::fetched_part::targets
+                              : fleet_update_fetcher::fetched_part::everything);
     }
   }
 
@@ -706,6 +714,7 @@
   /// Text of the configuration `compressed_version` as it is sent to peers.
   std::string compressed_text;
   std::uint64_t compressed_version = 0;
+  time_point started_at{};
   time_point last_tick_at{};
   time_point resumed_at{};
   time_point last_expiry_at{};
--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -288,6 +288,21 @@
   CHECK_FALSE(started.GivesNewFlowsTo("a"));
 }
 
+// Guards against an entry that is restarted while the store is silent and
+// serves nobody until its own read has failed.
+TEST_CASE("an entry that starts gets its state from a peer without the store") {
+  test_store store;
+  store.PutConfiguration(3);
+  store.PutTarget("a", 1, target_state::ready);
+  test_entry seed(store, 1);
+  REQUIRE(WaitUntil([&] { return seed.GivesNewFlowsTo("a"); }, 3s));
+  store.SetSilent(true);
+  const test_entry started(store, 4, test_entry::peer_fetches::served,
+                           /*first_start=*/false);
+  CHECK(WaitUntil([&] { return started.Version() == 3; }, 3s));
+  CHECK(started.GivesNewFlowsTo("a"));
+}
+
 /// @return the parts of the handover for an agent that started at 2000 ms,
 /// which it requests from an entry until they arrive; empty if none do.
 std::vector<mesh_message> RequestHandover(test_agent& agent,
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -145,6 +145,9 @@
 
 void test_store_client::Read(const source_revision& after,
                              read_callback callback) {
+  if (store_.IsSilent()) {
+    return;
+  }
   fleet_read_result result;
   if (reachable_) {
     const std::lock_guard lock(mutex_);
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -44,6 +44,10 @@
                  std::uint64_t report_number,
                  target_state reported);
 
+  /// @param silent whether reads get no reply at all.
+  void SetSilent(bool silent) { silent_ = silent; }
+  bool IsSilent() const { return silent_; }
+
   /// Removes a target, as after its entry has expired.
   /// @param name its name.
   void RemoveTarget(const std::string& name);
@@ -61,6 +65,7 @@
                                 const source_revision& after);
 
  private:
+  std::atomic<bool> silent_{false};
   mutable std::mutex mutex_;
   content content_;
 };
