End a stopping agent between two requests

Cause: a stopping agent waited for its flows to end, up to the limit of 5 s, and refused new flows all the while. Clients keep their flows for many requests, so flows hardly ever ended, the wait was in vain, and the exit cut what was in progress at that moment. In rounds of restarts a third of a service's targets took no new flows.

Change: 0.5 s after the signal, when the entries know that the agent is stopping, it ends at the first moment without a request in progress; its successor continues the flows. Without seeds to hand them to it waits as before.

Callers saw requests that ran into their deadline or came late.

--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -147,6 +147,11 @@
 
   /// @return number of open flows.
   std::uint32_t OpenFlows() const { return open_flows_; }
+  /// @return whether a client waits for the answer to a request.
+  bool HasRequests() const {
+    return scheduler_.ForwardedCount() + scheduler_.QueuedCount() > 0 ||
+           !held_requests_.IsEmpty();
+  }
   /// @return number of flows in the table, including those that have ended.
   std::size_t FlowCount() const { return flows_.size(); }
 
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -38,6 +38,9 @@
 /// Part of the stop limit that is reserved for the exit itself.
 constexpr milliseconds kExitReserve = 1000ms;
 constexpr milliseconds kStopPollPeriod = 100ms;
+/// Time in which entries learn that the agent is stopping. Afterwards it ends
+/// between two requests: its successor continues the flows.
+constexpr milliseconds kMinStopDuration = 500ms;
 /// Period of probing a target that was absent or that may end while the agent
 /// stops.
 constexpr milliseconds kTargetProbePeriod = 500ms;
@@ -346,13 +349,17 @@
     Flush();
   }
 
-  // Keeps serving the flows until they have ended, or until the stop limit has
-  // nearly elapsed.
+  // Keeps serving until the flows have ended or can be handed over without
+  // cutting a request, or until the stop limit has nearly elapsed.
   void PollStop() {
     const auto elapsed = ClockWithSleep() - stop_requested_at;
     const auto reported_for = ClockWithSleep() - target_ended_at;
-    const bool idle = target_ended ? reported_for > kEndedReportDuration
-                                   : agent.OpenFlows() == 0;
+    const bool can_hand_over =
+        !settings.seeds.empty() && elapsed > kMinStopDuration;
+    const bool idle =
+        target_ended
+            ? reported_for > kEndedReportDuration
+            : agent.OpenFlows() == 0 || (can_hand_over && !agent.HasRequests());
     if (idle || elapsed + kExitReserve > settings.stop_limit) {
       HandOverAndExit();
       return;
--- a/Tests/core/packet_agent_test.cc
+++ b/Tests/core/packet_agent_test.cc
@@ -95,6 +95,19 @@
   CHECK(test.agent.OpenFlows() == 1);
 }
 
+// Guards against an agent that ends while a client waits for an answer.
+TEST_CASE("a request is in progress from its first packet to its answer") {
+  fixture test;
+  CHECK_FALSE(test.agent.HasRequests());
+  test.Open();
+  CHECK(test.agent.HasRequests());
+  flow_packet answer = fixture::FromTarget();
+  answer.payload_bytes = 10;
+  test.SendFromTarget(answer);
+  CHECK_FALSE(test.agent.HasRequests());
+  CHECK(test.agent.OpenFlows() == 1);
+}
+
 TEST_CASE("a holder reports its flow to an entry that searches or is new") {
   fixture test;
   test.Open();
