Draw suspensions and losses between planned restarts in virtual time

The test of planned restarts gets a second case: agents and entries are suspended for 0.3 to 3.3 s and 2% of the messages are lost while both are restarted in rounds. As in the users' rule, a flow does not count while its target's machine or the entry that takes its packets was suspended within 2 s.

--- a/Tests/core/planned_restarts_test.cc
+++ b/Tests/core/planned_restarts_test.cc
@@ -36,6 +36,10 @@
 constexpr milliseconds kRestartDelay{550};
 /// An agent with open flows serves this long after the signal to stop.
 constexpr milliseconds kStopDuration{4000};
+constexpr milliseconds kHandoverRepeatDelay{100};
+/// Time after a suspension of a machine in which the flows through it do not
+/// count.
+constexpr milliseconds kStabilityTime{2000};
 /// A flow is broken if this many packets reach other targets during this time
 /// and none its own.
 constexpr int kMaxMisdelivered = 3;
@@ -101,6 +105,20 @@
     }
   }
 
+  /// Suspends an agent or entry; what arrives meanwhile is handled afterwards.
+  void Freeze(milliseconds at, milliseconds duration) {
+    After(at, [this, duration] {
+      const bool is_agent = Draw(2) == 0;
+      const std::uint32_t number =
+          is_agent ? 1 + Draw(kTargets) : kFirstEntryAddress + Draw(kEntries);
+      time_point& thaws_at = thaws_at_[number];
+      thaws_at = std::max(thaws_at, now_ + duration);
+    });
+  }
+
+  /// @param permille share of the messages between processes that are lost.
+  void LoseMessages(std::uint32_t permille) { loss_permille_ = permille; }
+
   void Run(milliseconds duration) {
     const time_point end = now_ + duration;
     while (!events_.empty() && events_.top().at <= end) {
@@ -221,6 +239,9 @@
 
   void Send(const mesh_message& message,
             const std::function<void(const mesh_message&)>& deliver) {
+    if (Draw(1000) < loss_permille_) {
+      return;
+    }
     After(Latency(),
           [message, payload = std::string(message.payload), deliver] {
             mesh_message received = message;
@@ -229,9 +250,29 @@
           });
   }
 
+  /// @return for how long a machine is still suspended.
+  milliseconds FrozenFor(std::uint32_t machine) const {
+    const auto found = thaws_at_.find(machine);
+    return found == thaws_at_.end() || found->second <= now_
+               ? 0ms
+               : std::chrono::ceil<milliseconds>(found->second - now_);
+  }
+
+  void DeferUntilThawed(
+      milliseconds rest,
+      const mesh_message& message,
+      const std::function<void(const mesh_message&)>& deliver) {
+    After(rest, [message, payload = std::string(message.payload), deliver] {
+      mesh_message received = message;
+      received.payload = payload;
+      deliver(received);
+    });
+  }
+
   void Tick() {
     for (const auto& entry : entries_) {
-      if (entry != nullptr) {
+      if (entry != nullptr &&
+          FrozenFor(kFirstEntryAddress + entry->index) == 0ms) {
         entry->core.Tick(now_);
       }
     }
@@ -240,7 +281,9 @@
 
   void ExpireAgents() {
     for (auto& [machine, agent] : agents_) {
-      agent->core.Tick(now_);
+      if (FrozenFor(machine) == 0ms) {
+        agent->core.Tick(now_);
+      }
     }
     After(1000ms, [this] { ExpireAgents(); });
   }
@@ -268,7 +311,11 @@
   /// Sends a part of a handover to all seeds.
   void SendHandover(machine_address machine, const mesh_message& part) {
     for (std::uint32_t seed = 0; seed < kSeeds; ++seed) {
-      After(Latency(), [this, machine, seed, part] {
+      if (Draw(1000) < loss_permille_) {
+        continue;
+      }
+      const milliseconds frozen = FrozenFor(kFirstEntryAddress + seed);
+      After(Latency() + frozen, [this, machine, seed, part] {
         if (entries_[seed] != nullptr) {
           stores_[seed].Add(now_, machine, part);
         }
@@ -306,7 +353,11 @@
       return;
     }
     for (std::uint32_t seed = 0; seed < kSeeds; ++seed) {
-      After(Latency(), [this, machine, started_ms, seed] {
+      if (Draw(1000) < loss_permille_) {
+        continue;
+      }
+      const milliseconds frozen = FrozenFor(kFirstEntryAddress + seed);
+      After(Latency() + frozen, [this, machine, started_ms, seed] {
         if (entries_[seed] == nullptr) {
           return;
         }
@@ -348,6 +399,8 @@
         for (const mesh_message& part :
              SplitHandover(agents_.at(machine)->core.HandOver(now_))) {
           SendHandover(machine, part);
+          After(kHandoverRepeatDelay,
+                [this, machine, part] { SendHandover(machine, part); });
         }
       }
       agents_.erase(machine);
@@ -376,6 +429,10 @@
     }
     entry_node& entry =
         *running[HashFlow(packet.FromClient()) % running.size()];
+    if (FrozenFor(kFirstEntryAddress + entry.index) > 0ms) {
+      disrupted_at_[packet.FromClient()] = now_;
+      return;
+    }
     entry.core.OnClientDatagram(now_, plain_format::Encode(packet));
     entry.core.Flush();
   }
@@ -429,16 +486,29 @@
         misdeliveries_.erase(flow);
       }
     }
-    After(1ms, [this, machine, bytes = plain_format::Encode(reply)] {
-      const auto agent = agents_.find(machine);
-      if (agent != agents_.end()) {
-        agent->second->core.OnTargetDatagram(now_, bytes);
-      }
-    });
+    After(1ms + FrozenFor(machine),
+          [this, machine, bytes = plain_format::Encode(reply)] {
+            const auto agent = agents_.find(machine);
+            if (agent != agents_.end()) {
+              agent->second->core.OnTargetDatagram(now_, bytes);
+            }
+          });
   }
 
   void RecordMisdelivery(const flow_address& flow) {
-    if (!holders_.contains(flow)) {
+    const auto holder = holders_.find(flow);
+    if (holder == holders_.end()) {
+      return;
+    }
+    // Neither the machine of the target nor the entry that the packets go to
+    // may have been suspended shortly before.
+    const auto thaws_at = thaws_at_.find(holder->second);
+    const auto disrupted_at = disrupted_at_.find(flow);
+    if ((thaws_at != thaws_at_.end() &&
+         now_ - thaws_at->second < kStabilityTime) ||
+        (disrupted_at != disrupted_at_.end() &&
+         now_ - disrupted_at->second < kStabilityTime)) {
+      misdeliveries_.erase(flow);
       return;
     }
     misdelivery& item =
@@ -454,6 +524,13 @@
   void DeliverToAgent(machine_address machine,
                       std::uint32_t entry,
                       const mesh_message& message) {
+    if (const milliseconds rest = FrozenFor(machine); rest > 0ms) {
+      DeferUntilThawed(rest, message,
+                       [this, machine, entry](const mesh_message& received) {
+                         DeliverToAgent(machine, entry, received);
+                       });
+      return;
+    }
     const auto agent = agents_.find(machine);
     if (agent != agents_.end()) {
       agent->second->core.OnEntryMessage(
@@ -464,6 +541,13 @@
   void DeliverToEntry(const endpoint& entry,
                       machine_address machine,
                       const mesh_message& message) {
+    if (const milliseconds rest = FrozenFor(entry.address); rest > 0ms) {
+      DeferUntilThawed(rest, message,
+                       [this, entry, machine](const mesh_message& received) {
+                         DeliverToEntry(entry, machine, received);
+                       });
+      return;
+    }
     entry_node* node = entries_[entry.address - kFirstEntryAddress].get();
     if (node != nullptr) {
       node->core.OnAgentMessage(now_, machine, message);
@@ -490,6 +574,11 @@
   std::set<flow_address> broken_;
   int most_misdelivered_ = 0;
   std::size_t missing_handovers_ = 0;
+  /// Ends of suspensions by the number of the machine.
+  std::map<std::uint32_t, time_point> thaws_at_;
+  /// When a packet of the flow last reached a suspended entry.
+  std::map<flow_address, time_point> disrupted_at_;
+  std::uint32_t loss_permille_ = 0;
   std::size_t resets_ = 0;
 };
 
@@ -518,4 +607,27 @@
   }
 }
 
+// Guards against the same where processes are also suspended and messages lost.
+TEST_CASE("restarts with suspensions and losses in between break no flow") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    planned_work world(seed, /*hands_over=*/true);
+    world.LoseMessages(20);
+    std::mt19937_64 random(seed);
+    for (milliseconds at = 2000ms; at < 40000ms;
+         at += milliseconds(6000 + random() % 8000)) {
+      world.RestartAgents(at);
+      world.RestartEntries(at + milliseconds(random() % 6000));
+      for (int count = 0; count < 4; ++count) {
+        world.Freeze(at + milliseconds(random() % 8000),
+                     milliseconds(300 + random() % 3000));
+      }
+    }
+    world.Run(55000ms);
+    CHECK(world.OpenFlows() == kClients);
+    CHECK(world.BrokenFlows() == 0);
+    CHECK(world.Resets() == 0);
+  }
+}
+
 }  // namespace corianderplank
