Compare histories within the longest life of a flow

Cause: the length of a history is limited to the longest life of a flow, but the longest one told by a peer went on growing in the comparison. For up to 5 s after an entry had taken over a history of that length it still counted as lacking, and a seed told others that not all agents were known.

Change: both sides of the comparison have the limit.

Callers saw nothing; found by reading the change. packet_test passes.

--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -545,11 +545,15 @@
     }
   }
 
+  // Whether a peer has a longer history that this entry has not taken over.
   bool LacksHistory(time_point now) const {
-    return longer_history_heard_at != time_point{} &&
-           now - longer_history_heard_at < kLongerHistoryTimeout &&
-           now - longest_history_since >
-               fleet.HistoryLength(now) + kHistoryTolerance;
+    if (longer_history_heard_at == time_point{} ||
+        now - longer_history_heard_at > kLongerHistoryTimeout) {
+      return false;
+    }
+    const time_point::duration longest = std::min<time_point::duration>(
+        now - longest_history_since, settings.longest_flow);
+    return longest > fleet.HistoryLength(now) + kHistoryTolerance;
   }
 
   // Replies with the unlisted agents, and in a second datagram, since either
