Let searches wait for a handover for 0.2 s at most

Cause: a restarted agent gave searches no reply for up to 1 s while it waited for its predecessor's flows, and dropped the packets of searches at the end of the wait. After a kill there is no handover to wait for; if the seeds were killed as well, every search was late. Read in the code, not measured.

Change: searches wait for 0.2 s, then they go on as without a handover, and waiting packets are handled as well. The agent still asks for 1 s, and a list that arrives later counts.

--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -144,20 +144,19 @@
     }
   }
   handover_complete_ |= handover.complete;
-  awaits_handover_ = false;
-  for (const deferred_message& item : std::exchange(deferred_, {})) {
-    mesh_message message = item.message;
-    message.payload = item.payload;
-    HandleEntryMessage(now, item.entry, message);
-  }
+  HandleDeferredMessages(now);
 }
 
 void packet_agent::OnNoHandover(time_point now) {
+  HandleDeferredMessages(now);
+}
+
+void packet_agent::HandleDeferredMessages(time_point now) {
   awaits_handover_ = false;
   for (const deferred_message& item : std::exchange(deferred_, {})) {
-    if (item.message.kind != mesh_kind::deliver) {
-      HandleEntryMessage(now, item.entry, item.message);
-    }
+    mesh_message message = item.message;
+    message.payload = item.payload;
+    HandleEntryMessage(now, item.entry, message);
   }
 }
 
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -112,9 +112,7 @@
   /// @param handover that agent's flows.
   void OnHandover(time_point now, const flow_handover& handover);
 
-  /// Ends the wait for a handover that will not come. Waiting queries get their
-  /// reply; waiting packets are dropped, as the entry repeats them where it
-  /// still needs to.
+  /// Ends the wait without a handover; one may still follow.
   /// @param now current time of the monotonic clock.
   void OnNoHandover(time_point now);
 
@@ -208,6 +206,7 @@
                           const endpoint& entry,
                           const mesh_message& message);
   void Defer(const endpoint& entry, const mesh_message& message);
+  void HandleDeferredMessages(time_point now);
 
   void OnDelivery(time_point now,
                   const endpoint& entry,
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -58,9 +58,11 @@
 constexpr milliseconds kEndedReportDuration = 2000ms;
 
 /// Period of asking the seeds for the flows of the agent that ran here before,
-/// and the time after which the agent does without them.
-constexpr milliseconds kHandoverRequestPeriod = 100ms;
+/// and the time after which the agent does without them. Searches wait for the
+/// reply for a shorter time: several round trips between failure domains.
+constexpr milliseconds kHandoverRequestPeriod = 50ms;
 constexpr milliseconds kHandoverTimeout = 1000ms;
+constexpr milliseconds kMaxSearchDelay = 200ms;
 /// Time between the two times that an ending agent sends its flows: a datagram
 /// may be lost.
 constexpr milliseconds kHandoverRepeatDelay = 100ms;
@@ -196,14 +198,18 @@
   // Asks until a handover has arrived, every seed has none, or the time is
   // over.
   void RequestHandover() {
-    if (!agent.IsAwaitingHandover()) {
+    if (handover_settled) {
       return;
     }
     const time_point now = ClockWithSleep();
     if (now - started_at > kHandoverTimeout) {
-      EndHandoverWait();
+      OnNoHandover();
       return;
     }
+    if (now - started_at > kMaxSearchDelay && agent.IsAwaitingHandover()) {
+      agent.OnNoHandover(now);
+      Flush();
+    }
     mesh_message request;
     request.kind = mesh_kind::handover_request;
     request.service = ServiceIdOf(settings.service);
@@ -213,14 +219,13 @@
   }
 
   void OnHandoverPart(const endpoint& seed, const mesh_message& part) {
-    if (handover_taken || settings.first_start) {
+    if (handover_settled || settings.first_start) {
       return;
     }
     if (part.part_count == 0) {
       seeds_without_handover.insert(seed.address);
-      if (agent.IsAwaitingHandover() &&
-          seeds_without_handover.size() >= settings.seeds.size()) {
-        EndHandoverWait();
+      if (seeds_without_handover.size() >= settings.seeds.size()) {
+        OnNoHandover();
       }
       return;
     }
@@ -229,7 +234,7 @@
     if (!whole) {
       return;
     }
-    handover_taken = true;
+    handover_settled = true;
     result_counters.Add(result_code::handover_received);
     LogEvent(
         log_level::info, "flows_taken_over",
@@ -239,7 +244,8 @@
     agent.OnHandover(ClockWithSleep(), *whole);
   }
 
-  void EndHandoverWait() {
+  void OnNoHandover() {
+    handover_settled = true;
     result_counters.Add(result_code::handover_missing);
     LogEvent(
         log_level::info, "no_flows_taken_over",
@@ -402,7 +408,8 @@
   time_point stop_requested_at{};
   bool stopping = false;
   handover_assembly handover;
-  bool handover_taken = false;
+  /// The handover has arrived, or is not to be expected any more.
+  bool handover_settled = false;
   std::set<std::uint32_t> seeds_without_handover;
   /// A probe since the start found that nothing listened at the target's
   /// address.
