--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -90,6 +90,7 @@
   /// Deliver: the flow goes to this target even if no slot is free.
   bool must_accept = false;
   /// Deliver of an opening packet: how long its client has waited already.
+  /// Flow_handover between seeds: how long the sender has kept it.
   std::chrono::milliseconds waited{0};
   /// Refused: the packet was meant for another service's target.
   bool wrong_service = false;
@@ -109,7 +110,8 @@
   /// Flows, flow_handover: the list is complete.
   bool complete = false;
   /// Members: addresses of entries. Fleet_update, ended_target_list: entries
-  /// that the receiver forwards the message to.
+  /// that the receiver forwards the message to. Flow_handover between seeds:
+  /// the agent's machine.
   std::vector<std::uint32_t> members;
   /// Members: agents whose targets are not listed, with their services.
   std::vector<present_agent> unlisted;
