Agree on the messages of evacuations, cold targets and answer profiles

Change: fleet_configuration has what a cold target of each service bears,

Result: core, wire and platform tests pass.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -24,6 +24,10 @@
 
 struct Question;
 
+struct Evacuation;
+
+struct AnswerProfile;
+
 struct Mesh;
 struct MeshBuilder;
 
@@ -174,6 +178,100 @@
 };
 FLATBUFFERS_STRUCT_END(Question, 20);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Evacuation FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t failure_domain_;
+  uint64_t epoch_;
+  uint64_t revision_;
+  uint8_t evacuated_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  Evacuation()
+      : failure_domain_(0),
+        epoch_(0),
+        revision_(0),
+        evacuated_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  Evacuation(uint64_t _failure_domain, uint64_t _epoch, uint64_t _revision, bool _evacuated)
+      : failure_domain_(flatbuffers::EndianScalar(_failure_domain)),
+        epoch_(flatbuffers::EndianScalar(_epoch)),
+        revision_(flatbuffers::EndianScalar(_revision)),
+        evacuated_(flatbuffers::EndianScalar(static_cast<uint8_t>(_evacuated))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t failure_domain() const {
+    return flatbuffers::EndianScalar(failure_domain_);
+  }
+  uint64_t epoch() const {
+    return flatbuffers::EndianScalar(epoch_);
+  }
+  uint64_t revision() const {
+    return flatbuffers::EndianScalar(revision_);
+  }
+  bool evacuated() const {
+    return flatbuffers::EndianScalar(evacuated_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(Evacuation, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) AnswerProfile FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t address_;
+  uint32_t bytes_;
+  uint32_t service_ms_;
+  uint32_t count_;
+  uint16_t port_;
+  int16_t padding0__;
+
+ public:
+  AnswerProfile()
+      : address_(0),
+        bytes_(0),
+        service_ms_(0),
+        count_(0),
+        port_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  AnswerProfile(uint32_t _address, uint32_t _bytes, uint32_t _service_ms, uint32_t _count, uint16_t _port)
+      : address_(flatbuffers::EndianScalar(_address)),
+        bytes_(flatbuffers::EndianScalar(_bytes)),
+        service_ms_(flatbuffers::EndianScalar(_service_ms)),
+        count_(flatbuffers::EndianScalar(_count)),
+        port_(flatbuffers::EndianScalar(_port)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t address() const {
+    return flatbuffers::EndianScalar(address_);
+  }
+  uint32_t bytes() const {
+    return flatbuffers::EndianScalar(bytes_);
+  }
+  uint32_t service_ms() const {
+    return flatbuffers::EndianScalar(service_ms_);
+  }
+  uint32_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+  uint16_t port() const {
+    return flatbuffers::EndianScalar(port_);
+  }
+};
+FLATBUFFERS_STRUCT_END(AnswerProfile, 20);
+
 struct Mesh FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MeshBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -209,7 +307,13 @@
     VT_REPEATABLE = 62,
     VT_PART = 64,
     VT_PART_COUNT = 66,
-    VT_SENDER_STARTED_MS = 68
+    VT_SENDER_STARTED_MS = 68,
+    VT_EVACUATION = 70,
+    VT_COLD_FOR_MS = 72,
+    VT_COLD_FLOWS_PERMILLE = 74,
+    VT_PACE_PERMILLE = 76,
+    VT_SERVICE_MS = 78,
+    VT_PROFILES = 80
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -310,6 +414,24 @@
   int64_t sender_started_ms() const {
     return GetField<int64_t>(VT_SENDER_STARTED_MS, 0);
   }
+  const corianderplank::schema::Evacuation *evacuation() const {
+    return GetStruct<const corianderplank::schema::Evacuation *>(VT_EVACUATION);
+  }
+  uint32_t cold_for_ms() const {
+    return GetField<uint32_t>(VT_COLD_FOR_MS, 0);
+  }
+  uint32_t cold_flows_permille() const {
+    return GetField<uint32_t>(VT_COLD_FLOWS_PERMILLE, 0);
+  }
+  uint32_t pace_permille() const {
+    return GetField<uint32_t>(VT_PACE_PERMILLE, 0);
+  }
+  uint32_t service_ms() const {
+    return GetField<uint32_t>(VT_SERVICE_MS, 0);
+  }
+  const flatbuffers::Vector<const corianderplank::schema::AnswerProfile *> *profiles() const {
+    return GetPointer<const flatbuffers::Vector<const corianderplank::schema::AnswerProfile *> *>(VT_PROFILES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -351,6 +473,13 @@
            VerifyField<uint32_t>(verifier, VT_PART, 4) &&
            VerifyField<uint32_t>(verifier, VT_PART_COUNT, 4) &&
            VerifyField<int64_t>(verifier, VT_SENDER_STARTED_MS, 8) &&
+           VerifyField<corianderplank::schema::Evacuation>(verifier, VT_EVACUATION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_FOR_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_FLOWS_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PACE_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SERVICE_MS, 4) &&
+           VerifyOffset(verifier, VT_PROFILES) &&
+           verifier.VerifyVector(profiles()) &&
            verifier.EndTable();
   }
 };
@@ -458,6 +587,24 @@
   void add_sender_started_ms(int64_t sender_started_ms) {
     fbb_.AddElement<int64_t>(Mesh::VT_SENDER_STARTED_MS, sender_started_ms, 0);
   }
+  void add_evacuation(const corianderplank::schema::Evacuation *evacuation) {
+    fbb_.AddStruct(Mesh::VT_EVACUATION, evacuation);
+  }
+  void add_cold_for_ms(uint32_t cold_for_ms) {
+    fbb_.AddElement<uint32_t>(Mesh::VT_COLD_FOR_MS, cold_for_ms, 0);
+  }
+  void add_cold_flows_permille(uint32_t cold_flows_permille) {
+    fbb_.AddElement<uint32_t>(Mesh::VT_COLD_FLOWS_PERMILLE, cold_flows_permille, 0);
+  }
+  void add_pace_permille(uint32_t pace_permille) {
+    fbb_.AddElement<uint32_t>(Mesh::VT_PACE_PERMILLE, pace_permille, 0);
+  }
+  void add_service_ms(uint32_t service_ms) {
+    fbb_.AddElement<uint32_t>(Mesh::VT_SERVICE_MS, service_ms, 0);
+  }
+  void add_profiles(flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::AnswerProfile *>> profiles) {
+    fbb_.AddOffset(Mesh::VT_PROFILES, profiles);
+  }
   explicit MeshBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -503,11 +650,23 @@
     bool repeatable = false,
     uint32_t part = 0,
     uint32_t part_count = 0,
-    int64_t sender_started_ms = 0) {
+    int64_t sender_started_ms = 0,
+    const corianderplank::schema::Evacuation *evacuation = nullptr,
+    uint32_t cold_for_ms = 0,
+    uint32_t cold_flows_permille = 0,
+    uint32_t pace_permille = 0,
+    uint32_t service_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::AnswerProfile *>> profiles = 0) {
   MeshBuilder builder_(_fbb);
   builder_.add_sender_started_ms(sender_started_ms);
   builder_.add_born_ms(born_ms);
   builder_.add_service(service);
+  builder_.add_profiles(profiles);
+  builder_.add_service_ms(service_ms);
+  builder_.add_pace_permille(pace_permille);
+  builder_.add_cold_flows_permille(cold_flows_permille);
+  builder_.add_cold_for_ms(cold_for_ms);
+  builder_.add_evacuation(evacuation);
   builder_.add_part_count(part_count);
   builder_.add_part(part);
   builder_.add_timeout_ms(timeout_ms);
@@ -575,13 +734,20 @@
     bool repeatable = false,
     uint32_t part = 0,
     uint32_t part_count = 0,
-    int64_t sender_started_ms = 0) {
+    int64_t sender_started_ms = 0,
+    const corianderplank::schema::Evacuation *evacuation = nullptr,
+    uint32_t cold_for_ms = 0,
+    uint32_t cold_flows_permille = 0,
+    uint32_t pace_permille = 0,
+    uint32_t service_ms = 0,
+    const std::vector<corianderplank::schema::AnswerProfile> *profiles = nullptr) {
   auto questions__ = questions ? _fbb.CreateVectorOfStructs<corianderplank::schema::Question>(*questions) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   auto unlisted__ = unlisted ? _fbb.CreateVectorOfStructs<corianderplank::schema::PresentAgent>(*unlisted) : 0;
   auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
   auto flows__ = flows ? _fbb.CreateVector<uint32_t>(*flows) : 0;
   auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
+  auto profiles__ = profiles ? _fbb.CreateVectorOfStructs<corianderplank::schema::AnswerProfile>(*profiles) : 0;
   return corianderplank::schema::CreateMesh(
       _fbb,
       version,
@@ -616,7 +782,13 @@
       repeatable,
       part,
       part_count,
-      sender_started_ms);
+      sender_started_ms,
+      evacuation,
+      cold_for_ms,
+      cold_flows_permille,
+      pace_permille,
+      service_ms,
+      profiles__);
 }
 
 struct Target FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -811,7 +983,8 @@
     VT_IGNORED_ROWS = 34,
     VT_COMPRESSED_CONFIGURATION = 36,
     VT_CONFIGURATION_BYTES = 38,
-    VT_HISTORY_MS = 40
+    VT_HISTORY_MS = 40,
+    VT_EVACUATIONS = 42
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -870,6 +1043,9 @@
   uint32_t history_ms() const {
     return GetField<uint32_t>(VT_HISTORY_MS, 0);
   }
+  const flatbuffers::Vector<const corianderplank::schema::Evacuation *> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<const corianderplank::schema::Evacuation *> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -896,6 +1072,8 @@
            verifier.VerifyVector(compressed_configuration()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_BYTES, 4) &&
            VerifyField<uint32_t>(verifier, VT_HISTORY_MS, 4) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
            verifier.EndTable();
   }
 };
@@ -961,6 +1139,9 @@
   void add_history_ms(uint32_t history_ms) {
     fbb_.AddElement<uint32_t>(Belief::VT_HISTORY_MS, history_ms, 0);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::Evacuation *>> evacuations) {
+    fbb_.AddOffset(Belief::VT_EVACUATIONS, evacuations);
+  }
   explicit BeliefBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -992,7 +1173,8 @@
     bool ignored_rows = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed_configuration = 0,
     uint32_t configuration_bytes = 0,
-    uint32_t history_ms = 0) {
+    uint32_t history_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::Evacuation *>> evacuations = 0) {
   BeliefBuilder builder_(_fbb);
   builder_.add_configuration_epoch(configuration_epoch);
   builder_.add_epoch(epoch);
@@ -1001,6 +1183,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_revision(revision);
   builder_.add_base_revision(base_revision);
+  builder_.add_evacuations(evacuations);
   builder_.add_history_ms(history_ms);
   builder_.add_configuration_bytes(configuration_bytes);
   builder_.add_compressed_configuration(compressed_configuration);
@@ -1036,11 +1219,13 @@
     bool ignored_rows = false,
     const std::vector<uint8_t> *compressed_configuration = nullptr,
     uint32_t configuration_bytes = 0,
-    uint32_t history_ms = 0) {
+    uint32_t history_ms = 0,
+    const std::vector<corianderplank::schema::Evacuation> *evacuations = nullptr) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<corianderplank::schema::Target>>(*targets) : 0;
   auto ended__ = ended ? _fbb.CreateVectorOfStructs<corianderplank::schema::EndedTarget>(*ended) : 0;
   auto compressed_configuration__ = compressed_configuration ? _fbb.CreateVector<uint8_t>(*compressed_configuration) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVectorOfStructs<corianderplank::schema::Evacuation>(*evacuations) : 0;
   return corianderplank::schema::CreateBelief(
       _fbb,
       version,
@@ -1061,7 +1246,8 @@
       ignored_rows,
       compressed_configuration__,
       configuration_bytes,
-      history_ms);
+      history_ms,
+      evacuations__);
 }
 
 }  // namespace schema
--- a/Source/core/fleet.h
+++ b/Source/core/fleet.h
@@ -90,6 +90,28 @@
   }
 };
 
+/// What a target of a service bears shortly after its start.
+struct cold_start_policy {
+  /// Time after its start during which a target is cold; 0 for none.
+  std::chrono::milliseconds duration{0};
+  /// New flows a second that a cold target bears; 0 for no limit.
+  double flows_per_second = 0;
+
+  bool operator==(const cold_start_policy&) const = default;
+};
+
+/// Whether the operator wants the targets of a failure domain to get no new
+/// flows. A row that is not evacuated records the end of an evacuation.
+struct domain_evacuation {
+  /// HashName of the failure domain.
+  std::uint64_t failure_domain = 0;
+  bool evacuated = false;
+  /// Revision of the request or of its end; the highest one counts.
+  source_revision revision;
+
+  bool operator==(const domain_evacuation&) const = default;
+};
+
 /// One version of the configuration. Immutable once it is part of the state.
 struct fleet_configuration {
   std::uint64_t version = 0;
@@ -98,6 +120,9 @@
   std::unordered_map<endpoint, fleet_route, endpoint_hash> routes;
   /// Every service that the version names.
   std::vector<service_id> services;
+  /// Services whose targets are cold after their start.
+  std::unordered_map<service_id, cold_start_policy, identifier_hash>
+      cold_starts;
   /// Time without packets after which a flow may expire.
   std::chrono::milliseconds idle_timeout{0};
   /// Original text, which is sent to peers on request.
@@ -120,6 +145,8 @@
   std::vector<fleet_target> targets;
   /// Routes of earlier versions that the current version does not contain.
   std::vector<endpoint> dropped_routes;
+  /// Evacuations that were requested, and those that have ended.
+  std::vector<domain_evacuation> evacuations;
   /// Number of entries that place flows on these targets, including this one.
   std::uint32_t entries = 1;
   /// Start of the latest read that confirmed this state.
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -40,6 +40,7 @@
                            ///< flows. Seed to agent: its predecessor's part.
   handover_request = 21,   ///< Agent to seed: request for the handover of the
                            ///< agent that ran in its place before.
+  evacuation = 22,         ///< Entry to agent: whether its domain is evacuated.
 };
 
 /// Result of a query for one flow.
@@ -62,6 +63,24 @@
   std::uint32_t open_flows = 0;
   /// Average number of requests in progress, in thousandths.
   std::uint32_t busy_permille = 0;
+  /// Requests that the target can work on at a time without slowing down, as
+  /// learned from its answers, in thousandths; 0 if not known.
+  std::uint32_t pace_permille = 0;
+  /// Expected service time of a request; 0 if not known.
+  std::chrono::milliseconds service_time{0};
+};
+
+/// What the answers to the requests of one route are like.
+struct answer_profile {
+  endpoint route;  ///< Address and port of the route.
+  /// Typical size of an answer.
+  std::uint32_t bytes = 0;
+  /// Typical time from forwarding a request to its answer.
+  std::chrono::milliseconds service_time{0};
+  /// Number of answers, or of agents, that this describes.
+  std::uint32_t count = 0;
+
+  bool operator==(const answer_profile&) const = default;
 };
 
 /// An agent that runs on the machine of a target that is not listed.
@@ -130,6 +149,16 @@
   /// flows these are or that asks, in milliseconds, by the clock of its
   /// machine.
   std::int64_t sender_started_ms = 0;
+  /// Deliver, evacuation: state of the target's failure domain; revision 0 if
+  /// no evacuation is known.
+  domain_evacuation evacuation;
+  /// Deliver: how much longer the target is cold, and how many new flows a
+  /// second it bears until then, in thousandths; 0 for no limit.
+  std::chrono::milliseconds cold_for{0};
+  std::uint32_t cold_flows_permille = 0;
+  /// Agent to entry: answers of its target; entry to agent: answers of its
+  /// target's peers.
+  std::vector<answer_profile> profiles;
   /// Deliver, denied, refused: the client's packet; fleet_update:
   /// the encoded update.
   std::string_view payload;
@@ -157,6 +186,8 @@
   std::string compressed_configuration;
   /// Changed targets; `removed` marks those removed from the list.
   std::vector<fleet_target> targets;
+  /// Changed evacuations, including those that have ended.
+  std::vector<domain_evacuation> evacuations;
   /// Ended targets; only in an update with the complete state.
   std::vector<ended_target> ended;
   /// How long the sender has known all flow holders.
--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -225,6 +225,37 @@
      "before."},
     {result_code::handover_missing, outcome_kind::placement, "handover_missing",
      "A restarted agent got no flows of an earlier agent; it asks its target."},
+    {result_code::opening_while_evacuated, outcome_kind::placement,
+     "opening_while_evacuated",
+     "An agent refused a new flow since its failure domain is evacuated."},
+    {result_code::opening_while_cold, outcome_kind::placement,
+     "opening_while_cold",
+     "An agent refused a new flow since its target is cold and had as many as "
+     "it bears."},
+    {result_code::evacuation_began, outcome_kind::placement, "evacuation_began",
+     "A failure domain is evacuated: its targets get no new flows."},
+    {result_code::evacuation_ended, outcome_kind::placement, "evacuation_ended",
+     "The evacuation of a failure domain has ended."},
+    {result_code::reset_link_full, outcome_kind::placement, "reset_link_full",
+     "The entry's link cannot carry a new flow in time; the client got a "
+     "reset."},
+    {result_code::packet_paced, outcome_kind::placement, "packet_paced",
+     "A packet of a bulk transfer waited for others on the entry's link."},
+    {result_code::packet_dropped_for_link, outcome_kind::placement,
+     "packet_dropped_for_link",
+     "A packet was dropped since the entry's link could not carry it in time."},
+    {result_code::target_suspected, outcome_kind::placement, "target_suspected",
+     "A target's answers differ from those of its peers; it gets no new flows "
+     "for a while."},
+    {result_code::suspect_cleared, outcome_kind::placement, "suspect_cleared",
+     "A suspected target answers like its peers again."},
+    {result_code::pace_lowered, outcome_kind::placement, "pace_lowered",
+     "A target slowed down; its agent forwards fewer requests at a time."},
+    {result_code::pace_raised, outcome_kind::placement, "pace_raised",
+     "A target's answers stay good; its agent forwards more requests at a "
+     "time."},
+    {result_code::reset_no_room, outcome_kind::placement, "reset_no_room",
+     "No target could answer a new flow in time; the client got a reset."},
 };
 
 }  // namespace
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -122,6 +122,18 @@
   changes_too_large = 740,
   handover_received = 741,
   handover_missing = 742,
+  opening_while_evacuated = 743,
+  opening_while_cold = 744,
+  evacuation_began = 745,
+  evacuation_ended = 746,
+  reset_link_full = 750,
+  packet_paced = 751,
+  packet_dropped_for_link = 752,
+  target_suspected = 755,
+  suspect_cleared = 756,
+  pace_lowered = 760,
+  pace_raised = 761,
+  reset_no_room = 770,
 };
 
 /// One row of the table of codes.
--- a/Source/packet/fleet_source.h
+++ b/Source/packet/fleet_source.h
@@ -36,6 +36,9 @@
   /// All targets, or the changed ones; of the latter, those with `removed` have
   /// been removed.
   std::vector<fleet_target> targets;
+  /// Evacuations in the result. A complete list has those in force; changes
+  /// also have those that have ended.
+  std::vector<domain_evacuation> evacuations;
   /// Latest configuration in the result; null if it contains none.
   std::shared_ptr<const fleet_configuration> configuration;
   /// Entries that were skipped.
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -132,6 +132,15 @@
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
 }
 
+schema::Evacuation ToSchema(const domain_evacuation& item) {
+  return {item.failure_domain, item.revision.epoch, item.revision.number,
+          item.evacuated};
+}
+
+domain_evacuation FromSchema(const schema::Evacuation& row) {
+  return {row.failure_domain(), row.evacuated(), {row.revision(), row.epoch()}};
+}
+
 std::vector<schema::EndedTarget> ToSchema(
     const std::vector<ended_target>& ended) {
   std::vector<schema::EndedTarget> rows;
@@ -222,6 +231,19 @@
   if (!message.ended.empty()) {
     ended = builder.CreateVectorOfStructs(ToSchema(message.ended));
   }
+  flatbuffers::Offset<flatbuffers::Vector<const schema::AnswerProfile*>>
+      profiles;
+  if (!message.profiles.empty()) {
+    std::vector<schema::AnswerProfile> rows;
+    rows.reserve(message.profiles.size());
+    for (const answer_profile& item : message.profiles) {
+      rows.emplace_back(item.route.address, item.bytes,
+                        ToMilliseconds(item.service_time), item.count,
+                        item.route.port);
+    }
+    profiles = builder.CreateVectorOfStructs(rows);
+  }
+  const schema::Evacuation evacuation = ToSchema(message.evacuation);
   const schema::Endpoint client = ToSchema(message.flow.client);
   const schema::Endpoint service_address = ToSchema(message.flow.service);
   schema::MeshBuilder table(builder);
@@ -258,6 +280,14 @@
   table.add_part(message.part);
   table.add_part_count(message.part_count);
   table.add_sender_started_ms(message.sender_started_ms);
+  if (message.evacuation.revision.IsSet()) {
+    table.add_evacuation(&evacuation);
+  }
+  table.add_cold_for_ms(ToMilliseconds(message.cold_for));
+  table.add_cold_flows_permille(message.cold_flows_permille);
+  table.add_pace_permille(message.load.pace_permille);
+  table.add_service_ms(ToMilliseconds(message.load.service_time));
+  table.add_profiles(profiles);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -283,9 +313,9 @@
   const auto* table = VerifyRoot<schema::Mesh>(bytes);
   if (table == nullptr ||
       table->kind() < static_cast<std::uint8_t>(mesh_kind::deliver) ||
-      table->kind() > static_cast<std::uint8_t>(mesh_kind::handover_request) ||
+      table->kind() > static_cast<std::uint8_t>(mesh_kind::evacuation) ||
       !IsAligned(table->unlisted()) || !IsAligned(table->ended()) ||
-      !IsAligned(table->questions())) {
+      !IsAligned(table->questions()) || !IsAligned(table->profiles())) {
     return std::nullopt;
   }
   mesh_message message;
@@ -302,7 +332,8 @@
   message.waited = milliseconds(table->waited_ms());
   message.wrong_service = table->wrong_service();
   message.sequence = table->sequence();
-  message.load = {table->open_flows(), table->busy_permille()};
+  message.load = {table->open_flows(), table->busy_permille(),
+                  table->pace_permille(), milliseconds(table->service_ms())};
   message.all_agents_known = table->settled();
   if (table->questions() != nullptr) {
     for (const schema::Question* row : *table->questions()) {
@@ -336,6 +367,19 @@
   message.known_for = milliseconds(table->known_for_ms());
   message.pause = milliseconds(table->pause_ms());
   message.ended = FromSchema(table->ended());
+  if (table->evacuation() != nullptr) {
+    message.evacuation = FromSchema(*table->evacuation());
+  }
+  message.cold_for = milliseconds(table->cold_for_ms());
+  message.cold_flows_permille = table->cold_flows_permille();
+  if (table->profiles() != nullptr) {
+    for (const schema::AnswerProfile* row : *table->profiles()) {
+      message.profiles.push_back({{row->address(), row->port()},
+                                  row->bytes(),
+                                  milliseconds(row->service_ms()),
+                                  row->count()});
+    }
+  }
   message.payload = ViewOf(table->payload());
   return message;
 }
@@ -351,6 +395,11 @@
   }
   const auto targets = builder.CreateVector(rows);
   const auto ended = builder.CreateVectorOfStructs(ToSchema(update.ended));
+  std::vector<schema::Evacuation> evacuation_rows;
+  for (const domain_evacuation& item : update.evacuations) {
+    evacuation_rows.push_back(ToSchema(item));
+  }
+  const auto evacuations = builder.CreateVectorOfStructs(evacuation_rows);
   // A receiver of the compressed text does not need the plain one.
   const bool is_compressed = !update.compressed_configuration.empty();
   const auto configuration = CreateBytes(
@@ -377,6 +426,7 @@
   table.add_targets(targets);
   table.add_reader(update.reader);
   table.add_ended(ended);
+  table.add_evacuations(evacuations);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -394,7 +444,8 @@
 std::optional<fleet_update> DecodeAlignedUpdate(std::string_view bytes,
                                                 time_point now) {
   const auto* table = VerifyRoot<schema::Belief>(bytes);
-  if (table == nullptr || !IsAligned(table->ended())) {
+  if (table == nullptr || !IsAligned(table->ended()) ||
+      !IsAligned(table->evacuations())) {
     return std::nullopt;
   }
   fleet_update update;
@@ -429,6 +480,11 @@
       update.targets.push_back(DecodeTarget(*row, now));
     }
   }
+  if (table->evacuations() != nullptr) {
+    for (const schema::Evacuation* row : *table->evacuations()) {
+      update.evacuations.push_back(FromSchema(*row));
+    }
+  }
   return update;
 }
 
