Evacuate failure domains, and limit the new flows of cold targets

Change: the fleet state has a table of evacuations (library evacuation), merged by revision, and passes it on with its updates. Entries leave out the targets of evacuated domains, also for repeated openings, and refuse a flow at once if all are. Agents get the state with each message of an entry and from the reader each second, and refuse new flows, also those that they would have to accept. They keep a cold target's budget over a sliding second.

--- a/Source/core/fleet.h
+++ b/Source/core/fleet.h
@@ -48,6 +48,8 @@
   time_point removed_at{};
   /// Nothing listens at its address any more, so it holds no flow.
   bool ended = false;
+  /// The operator evacuates its failure domain. Set in snapshots only.
+  bool evacuated = false;
   /// Until then it still gets new flows although it is removed: it was removed
   /// around an outage of the source and may be listed again.
   time_point may_return_until{};
@@ -55,7 +57,8 @@
   /// @param now current time of the monotonic clock.
   /// @return whether it may get new flows.
   bool AcceptsNewFlows(time_point now) const {
-    return state == target_state::ready && (!removed || now < may_return_until);
+    return !evacuated && state == target_state::ready &&
+           (!removed || now < may_return_until);
   }
 
   /// Compares when the target published two of its rows, regardless of
--- a/Source/core/fleet_index.cc
+++ b/Source/core/fleet_index.cc
@@ -95,6 +95,44 @@
   return route.shares.back().service;
 }
 
+bool fleet_index::HasOnlyEvacuated(time_point now, service_id service) const {
+  bool has_evacuated = false;
+  for (const fleet_target* item : TargetsOf(service)) {
+    if (item->AcceptsNewFlows(now)) {
+      return false;
+    }
+    has_evacuated |=
+        item->evacuated && !item->removed && item->state == target_state::ready;
+  }
+  return has_evacuated;
+}
+
+domain_evacuation fleet_index::EvacuationOf(
+    std::uint64_t failure_domain) const {
+  for (const domain_evacuation& row : snapshot_->evacuations) {
+    if (row.failure_domain == failure_domain) {
+      return row;
+    }
+  }
+  return {};
+}
+
+cold_target_state fleet_index::ColdStateOf(time_point now,
+                                           const fleet_target& target) const {
+  if (snapshot_->configuration == nullptr || target.warm_up_until <= now) {
+    return {};
+  }
+  const auto& policies = snapshot_->configuration->cold_starts;
+  const auto found = policies.find(target.service);
+  if (found == policies.end() || found->second.flows_per_second <= 0) {
+    return {};
+  }
+  return {
+      std::chrono::ceil<std::chrono::milliseconds>(target.warm_up_until - now),
+      static_cast<std::uint32_t>(
+          std::clamp(found->second.flows_per_second * 1000, 1.0, 1e9))};
+}
+
 const std::vector<const fleet_target*>& fleet_index::TargetsOf(
     service_id service) const {
   static const std::vector<const fleet_target*> kNone;
--- a/Source/core/fleet_index.h
+++ b/Source/core/fleet_index.h
@@ -23,6 +23,13 @@
   const fleet_target* target = nullptr;
 };
 
+/// How much longer a target is cold and what it bears until then.
+struct cold_target_state {
+  std::chrono::milliseconds remaining{0};  ///< 0 if it is not cold.
+  /// New flows a second, in thousandths; 0 for no limit.
+  std::uint32_t flows_permille = 0;
+};
+
 /// Immutable index over one fleet snapshot.
 class fleet_index {
  public:
@@ -65,6 +72,22 @@
   /// @return its targets, including removed ones.
   const std::vector<const fleet_target*>& TargetsOf(service_id service) const;
 
+  /// @param now current time of the monotonic clock.
+  /// @param service a service.
+  /// @return whether it has targets for new flows, all of them in evacuated
+  ///     failure domains.
+  bool HasOnlyEvacuated(time_point now, service_id service) const;
+
+  /// @param failure_domain HashName of a failure domain.
+  /// @return its evacuation; revision 0 if none is known.
+  domain_evacuation EvacuationOf(std::uint64_t failure_domain) const;
+
+  /// @param now current time of the monotonic clock.
+  /// @param target a target.
+  /// @return its state; without a limit if the configuration names none.
+  cold_target_state ColdStateOf(time_point now,
+                                const fleet_target& target) const;
+
   /// Ranks targets by rendezvous hashing: every process with the same targets
   /// gets the same order, and adding or removing a target changes it little.
   /// @param targets targets to rank.
--- a/Source/core/fleet_state.cc
+++ b/Source/core/fleet_state.cc
@@ -26,6 +26,9 @@
 constexpr std::uint16_t kAnyPort = 1;
 /// Maximum number of dropped routes; the oldest ones are evicted.
 constexpr std::size_t kMaxDroppedRoutes = 4096;
+/// Inaccuracy of the end of a cold phase: a row is read some time after it was
+/// written, and the time that it names counts from the reading.
+constexpr milliseconds kColdTolerance = 1000ms;
 
 bool SameContent(const fleet_target& left, const fleet_target& right) {
   return left.address == right.address && left.service == right.service &&
@@ -118,7 +121,7 @@
         std::max(item.may_return_until, row.may_return_until);
     return;
   }
-  if (SameContent(item, row)) {
+  if (SameContent(item, row) && !BecameCold(now, item, row)) {
     // A heartbeat; the revision of the last real change is kept.
     item.report_number = row.report_number;
     return;
@@ -130,6 +133,19 @@
   changed_.push_back(row.id);
 }
 
+bool fleet_state::BecameCold(time_point now,
+                             const fleet_target& known,
+                             const fleet_target& row) const {
+  if (row.warm_up_until <= now + kColdTolerance ||
+      row.warm_up_until <= known.warm_up_until + kColdTolerance ||
+      configuration_ == nullptr) {
+    return false;
+  }
+  const auto found = configuration_->cold_starts.find(row.service);
+  return found != configuration_->cold_starts.end() &&
+         found->second.flows_per_second > 0;
+}
+
 void fleet_state::MarkRemoved(time_point now,
                               fleet_target& item,
                               const source_revision& revision) {
@@ -146,7 +162,8 @@
 void fleet_state::ApplyList(time_point now,
                             time_point began,
                             const source_revision& revision,
-                            const std::vector<fleet_target>& rows) {
+                            const std::vector<fleet_target>& rows,
+                            const std::vector<domain_evacuation>& evacuations) {
   if (revision < revision_) {
     return;
   }
@@ -159,6 +176,7 @@
     ApplyRows(now, rows, row_order::by_report);
   }
   MarkMissingRemoved(now, revision, rows);
+  evacuations_.ApplyList(revision, evacuations);
   Confirm(now, began, revision);
 }
 
@@ -224,11 +242,14 @@
   }
 }
 
-void fleet_state::ApplyChanges(time_point now,
-                               time_point began,
-                               const source_revision& revision,
-                               const std::vector<fleet_target>& rows) {
+void fleet_state::ApplyChanges(
+    time_point now,
+    time_point began,
+    const source_revision& revision,
+    const std::vector<fleet_target>& rows,
+    const std::vector<domain_evacuation>& evacuations) {
   DetectSourceOutage(now, began);
+  evacuations_.ApplyChanges(evacuations);
   ApplyRows(now, rows, row_order::by_revision);
   Confirm(now, began, revision);
 }
@@ -263,12 +284,17 @@
     return update_result::outdated;
   }
   const bool is_complete = !update.base_revision.IsSet();
+  if (!is_complete) {
+    // Also if earlier changes are missing: each row counts by itself.
+    evacuations_.ApplyChanges(update.evacuations);
+  }
   if (is_complete && update.revision < revision_) {
     // Targets that have been removed since would be added again.
     return update_result::outdated;
   }
   DetectSourceOutage(now, now - update.age);
   if (is_complete) {
+    evacuations_.ApplyList(update.revision, update.evacuations);
     DetectRestoration(now, update.revision);
     has_ignored_rows_ =
         !update.settled && (has_ignored_rows_ || update.has_ignored_rows);
@@ -343,6 +369,7 @@
   if (!revision.IsSet()) {
     update.ended = ended_.All();
   }
+  update.evacuations = evacuations_.Since(revision);
   for (const auto& [id, item] : targets_) {
     if (item.revision > revision) {
       update.targets.push_back(item);
@@ -473,7 +500,10 @@
     snapshot->targets.push_back(item);
     snapshot->targets.back().ended =
         ended_.HasTargetEnded(item.address.address, item.revision);
+    snapshot->targets.back().evacuated =
+        evacuations_.IsEvacuated(item.failure_domain);
   }
+  snapshot->evacuations = evacuations_.Since({});
   // The order must be the same in every process; the table's order is not.
   std::sort(snapshot->targets.begin(), snapshot->targets.end(),
             [](const auto& left, const auto& right) {
--- a/Source/core/fleet_state.h
+++ b/Source/core/fleet_state.h
@@ -12,6 +12,7 @@
 #include "core/ended_targets.h"
 #include "core/fleet.h"
 #include "core/mesh_message.h"
+#include "evacuation/evacuation_table.h"
 
 namespace corianderplank {
 
@@ -92,20 +93,24 @@
   /// @param revision revision of the list; a list older than the state is
   ///     ignored.
   /// @param rows all listed targets.
+  /// @param evacuations all evacuations in force.
   void ApplyList(time_point now,
                  time_point began,
                  const source_revision& revision,
-                 const std::vector<fleet_target>& rows);
+                 const std::vector<fleet_target>& rows,
+                 const std::vector<domain_evacuation>& evacuations = {});
 
   /// Applies the changes since Revision().
   /// @param now current time of the monotonic clock.
   /// @param began time at which the read began.
   /// @param revision revision up to which the changes are complete.
   /// @param rows changed targets; `removed` marks those removed from the list.
+  /// @param evacuations evacuations that began or ended.
   void ApplyChanges(time_point now,
                     time_point began,
                     const source_revision& revision,
-                    const std::vector<fleet_target>& rows);
+                    const std::vector<fleet_target>& rows,
+                    const std::vector<domain_evacuation>& evacuations = {});
 
   /// @param configuration a configuration; null is ignored.
   /// @return whether it was newer than the current one and replaced it.
@@ -204,6 +209,13 @@
   time_point ConfirmedAt() const { return confirmed_at_; }
   /// @return the targets that have changed since the last call.
   std::vector<fleet_target> CollectChanges();
+  /// @return the failure domains that were evacuated or taken back since the
+  ///     last call.
+  std::vector<domain_evacuation> CollectEvacuations() {
+    return evacuations_.CollectChanges();
+  }
+  /// @return the evacuations, including ended ones.
+  const evacuation_table& Evacuations() const { return evacuations_; }
   /// @return targets by identifier.
   const std::unordered_map<target_id, fleet_target, identifier_hash>& Targets()
       const {
@@ -227,6 +239,10 @@
   /// Starts the recovery grace period if the source was not read for a while.
   void DetectSourceOutage(time_point now, time_point began);
   void ApplyRow(time_point now, const fleet_target& row, row_order order);
+  /// @return whether a target of the same content has become cold again.
+  bool BecameCold(time_point now,
+                  const fleet_target& known,
+                  const fleet_target& row) const;
   void ApplyRows(time_point now,
                  const std::vector<fleet_target>& rows,
                  row_order order);
@@ -247,6 +263,7 @@
   /// Absence reports received before the first list, with their arrival times.
   std::unordered_map<std::uint32_t, time_point> early_absences_;
   std::unordered_map<target_id, fleet_target, identifier_hash> targets_;
+  evacuation_table evacuations_;
   std::shared_ptr<const fleet_configuration> configuration_;
   /// Highest version that a peer's update has named.
   std::uint64_t announced_version_ = 0;
--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -24,6 +24,12 @@
 constexpr milliseconds kTargetResponseTimeout = 250ms;
 /// Entries that sent a message within this time are notified of a planned stop.
 constexpr milliseconds kEntryTimeout = 5000ms;
+/// How long an outdated entry avoids a target whose failure domain is evacuated
+/// before it tries again: far above the time in which it learns of it.
+constexpr milliseconds kEvacuatedPause = 1000ms;
+/// Time after the agent's start in which the window of new flows includes those
+/// of an earlier agent.
+constexpr milliseconds kFlowsUnknownFor = 1000ms;
 /// Messages that wait for a handover. Entries repeat what exceeds the limit.
 constexpr std::size_t kMaxDeferredMessages = 512;
 /// Window of a flow: the most packets that an end sends without an
@@ -47,7 +53,9 @@
       format_(format),
       effects_(effects),
       counters_(counters),
-      started_at_(now) {}
+      started_at_(now),
+      evacuation_(settings.failure_domain),
+      cold_budget_(settings.first_start ? now : now + kFlowsUnknownFor) {}
 
 bool packet_agent::KnowsAllFlows(time_point now,
                                  std::int64_t target_start_ms) const {
@@ -77,6 +85,10 @@
   if (message.slots != 0 && message.service == settings_.service) {
     scheduler_.SetSlots(message.slots);
   }
+  if (evacuation_.OnRow(now, message.evacuation)) {
+    counters_.Add(message.evacuation.evacuated ? result_code::evacuation_began
+                                               : result_code::evacuation_ended);
+  }
   const bool is_search =
       message.kind == mesh_kind::flow_queries ||
       message.kind == mesh_kind::list_flows ||
@@ -99,7 +111,7 @@
     OnListFlows(now, entry, message);
   } else if (message.kind == mesh_kind::drain) {
     drain_reported_at_ = now;
-  } else {
+  } else if (message.kind != mesh_kind::evacuation) {
     counters_.Add(result_code::unexpected_kind);
   }
 }
@@ -249,6 +261,15 @@
                 0);
       return;
     }
+    cold_budget_.OnColdTarget(now, message.cold_for,
+                              message.cold_flows_permille);
+    const bool is_new = found == flows_.end();
+    const bool may_be_new = is_new ||
+                            found->second.phase == flow_phase::unconfirmed ||
+                            found->second.phase == flow_phase::accepted;
+    if (may_be_new && RefuseForDomainOrCold(now, entry, flow, is_new)) {
+      return;
+    }
     if (found == flows_.end() && !message.must_accept && scheduler_.IsFull()) {
       counters_.Add(result_code::opening_while_busy);
       SendReply(now, mesh_kind::busy, entry, flow, {}, false, 0);
@@ -262,6 +283,7 @@
     record.entry = entry;
     record.policy = message.policy;
     record.opening_began_at = now - message.waited;
+    cold_budget_.OnOpening(now);
     ForwardToTarget(now, *packet);
     return;
   }
@@ -327,7 +349,33 @@
   if (pause == 0ms) {
     return false;
   }
-  counters_.Add(result_code::opening_while_failing);
+  RefuseFor(now, result_code::opening_while_failing, entry, flow, pause);
+  return true;
+}
+
+bool packet_agent::RefuseForDomainOrCold(time_point now,
+                                         const endpoint& entry,
+                                         const flow_address& flow,
+                                         bool is_cold_limited) {
+  if (evacuation_.IsClosed(now)) {
+    RefuseFor(now, result_code::opening_while_evacuated, entry, flow,
+              kEvacuatedPause);
+    return true;
+  }
+  const milliseconds wait = is_cold_limited ? cold_budget_.Wait(now) : 0ms;
+  if (wait == 0ms) {
+    return false;
+  }
+  RefuseFor(now, result_code::opening_while_cold, entry, flow, wait);
+  return true;
+}
+
+void packet_agent::RefuseFor(time_point now,
+                             result_code code,
+                             const endpoint& entry,
+                             const flow_address& flow,
+                             milliseconds pause) {
+  counters_.Add(code);
   mesh_message message;
   message.kind = mesh_kind::refused;
   message.flow = flow;
@@ -335,7 +383,6 @@
   message.pause = pause;
   message.load = {open_flows_, load_.Permille(now)};
   effects_.SendToEntry(entry, message);
-  return true;
 }
 
 bool packet_agent::QueueIfBusy(time_point now,
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -20,6 +20,8 @@
 #include "core/load_average.h"
 #include "core/mesh_message.h"
 #include "core/request_scheduler.h"
+#include "evacuation/cold_flow_budget.h"
+#include "evacuation/evacuation_gate.h"
 
 namespace corianderplank {
 
@@ -57,6 +59,8 @@
   std::chrono::milliseconds longest_flow{60000};
   /// Number of flows above which the oldest one is evicted.
   std::size_t max_flows = 20000;
+  /// HashName of the agent's failure domain; 0 if not known.
+  std::uint64_t failure_domain = 0;
 };
 
 /// Decides what happens to each packet and message of one agent. Reads no clock
@@ -143,6 +147,9 @@
   /// @param now current time of the monotonic clock.
   void Tick(time_point now);
 
+  /// @return what the agent knows of the evacuation of its failure domain.
+  const evacuation_gate& Evacuation() const { return evacuation_; }
+
   /// @return number of open flows.
   std::uint32_t OpenFlows() const { return open_flows_; }
   /// @return whether a client waits for the answer to a request.
@@ -232,6 +239,19 @@
                  bool wrong_service,
                  std::uint32_t sequence);
   void ForwardToTarget(time_point now, const flow_packet& packet);
+  /// Refuses a new flow that its target must not get: its failure domain is
+  /// evacuated, or it is cold and has had as many as it bears.
+  /// @return whether the flow was refused.
+  bool RefuseForDomainOrCold(time_point now,
+                             const endpoint& entry,
+                             const flow_address& flow,
+                             bool is_cold_limited);
+  /// Refuses a new flow and asks the entry to avoid the target.
+  void RefuseFor(time_point now,
+                 result_code code,
+                 const endpoint& entry,
+                 const flow_address& flow,
+                 std::chrono::milliseconds pause);
   /// Refuses a new flow if the target fails its requests.
   /// @return whether the flow was refused.
   bool RefuseWhileFailing(time_point now,
@@ -299,6 +319,8 @@
   load_average load_;
   request_scheduler scheduler_;
   circuit_breaker breaker_;
+  evacuation_gate evacuation_;
+  cold_flow_budget cold_budget_;
   /// Requests that wait until the target answers others again.
   held_requests held_requests_;
   std::unordered_map<flow_address, flow_record, flow_address_hash> flows_;
--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -220,9 +220,11 @@
   void RetryOpening(time_point now,
                     const flow_address& flow,
                     flow_record& record);
-  /// Removes a flow that no target accepts; resets it if the snapshot is
-  /// fresh.
-  void GiveUpOpening(time_point now, const flow_address& flow);
+  /// Removes a flow that no target of the service accepts; resets it if the
+  /// snapshot is fresh or all targets are evacuated.
+  void GiveUpOpening(time_point now,
+                     const flow_address& flow,
+                     service_id service);
   void OnOpened(time_point now,
                 machine_address machine,
                 const mesh_message& message);
--- a/Source/core/packet_entry_opening.cc
+++ b/Source/core/packet_entry_opening.cc
@@ -51,7 +51,7 @@
   if (!record.accepted.empty()) {
     const machine_address machine = record.accepted.back().machine;
     const fleet_target* target = index_->FindTarget(machine);
-    if (target == nullptr || !is_named(target->service)) {
+    if (target == nullptr || target->evacuated || !is_named(target->service)) {
       return false;
     }
     RecordDecision(now, result_code::opening_copied, flow, machine);
@@ -143,7 +143,7 @@
     return;
   }
   if (target == nullptr) {
-    GiveUpOpening(now, flow);
+    GiveUpOpening(now, flow, pending.service);
     return;
   }
   const machine_address machine = target->address.address;
@@ -158,8 +158,12 @@
   openings_.push_back({now + kOpeningTimeout, flow});
 }
 
-void packet_entry::GiveUpOpening(time_point now, const flow_address& flow) {
-  if (IsSnapshotFresh(now)) {
+void packet_entry::GiveUpOpening(time_point now,
+                                 const flow_address& flow,
+                                 service_id service) {
+  // An evacuation lasts until a later read shows its end, so that waiting for a
+  // confirmation would only keep the client waiting.
+  if (IsSnapshotFresh(now) || index_->HasOnlyEvacuated(now, service)) {
     ResetFlow(now, result_code::reset_no_target, flow, 0);
     return;
   }
--- a/Source/packet/fleet_state_log.cc
+++ b/Source/packet/fleet_state_log.cc
@@ -55,6 +55,20 @@
             {"source", origin}});
 }
 
+void LogEvacuation(const domain_evacuation& row,
+                   const std::string& own_failure_domain,
+                   const std::string& origin,
+                   std::optional<std::chrono::milliseconds> age) {
+  const bool is_own = HashName(own_failure_domain) == row.failure_domain;
+  LogEvent(log_level::info,
+           row.evacuated ? "evacuation_began" : "evacuation_ended",
+           {{"failure_domain",
+             is_own ? own_failure_domain : std::to_string(row.failure_domain)},
+            {"revision", FormatRevision(row.revision)},
+            {"source", origin},
+            {"picture_age_ms", age ? std::to_string(age->count()) : ""}});
+}
+
 void LogEndedTargets(const std::vector<ended_target>& ended,
                      const std::string& origin) {
   for (const ended_target& target : ended) {
--- a/Source/packet/fleet_state_log.h
+++ b/Source/packet/fleet_state_log.h
@@ -2,6 +2,8 @@
 /// Log lines for changes of an entry's fleet state.
 #pragma once
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,19 @@
 void LogConfiguration(const fleet_configuration& configuration,
                       const std::string& origin);
 
+/// Logs that an evacuation has begun or ended.
+/// @param row the row in force.
+/// @param own_failure_domain name of the process's failure domain. The names of
+///     others are not known; their hash is logged.
+/// @param origin value of the log key "source": "platform", "peer" or the
+///     endpoint of an entry.
+/// @param age time since the start of the read that confirmed the row; omitted
+///     if not known.
+void LogEvacuation(const domain_evacuation& row,
+                   const std::string& own_failure_domain,
+                   const std::string& origin,
+                   std::optional<std::chrono::milliseconds> age);
+
 /// Logs one line for each target.
 /// @param ended targets that are newly known to have ended.
 /// @param origin value of the log key "source": "agent", "peer" or "seed".
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -128,6 +128,7 @@
       registry.Expire(now);
       handovers.Expire(now);
       SendDrainNotices(now);
+      SendEvacuationNotices();
       if (AllAgentsReported(now)) {
         fleet.OnAgentsKnown(now);
       }
@@ -208,11 +209,14 @@
         read.revision.epoch > previous.epoch || fleet.NeedsList(started_at);
     if (!base.IsSet()) {
       full_read_needed = false;
-      fleet.ApplyList(now, started_at, read.revision, read.targets);
+      fleet.ApplyList(now, started_at, read.revision, read.targets,
+                      read.evacuations);
     } else {
-      fleet.ApplyChanges(now, started_at, read.revision, read.targets);
+      fleet.ApplyChanges(now, started_at, read.revision, read.targets,
+                         read.evacuations);
     }
     LogRestoration(previous);
+    OnEvacuationsChanged(now, "platform");
     InstallConfiguration(read.configuration, "platform");
     schedule.OnReadEnd(now, true);
     ProcessEarlyAbsences(now);
@@ -324,6 +328,51 @@
     peers.Flush();
   }
 
+  // Agents are the last check before their targets: they refuse new flows even
+  // from entries that have missed the evacuation, and learn of its end.
+  void OnEvacuationsChanged(time_point now, const std::string& origin) {
+    for (const domain_evacuation& row : fleet.CollectEvacuations()) {
+      result_counters.Add(row.evacuated ? result_code::evacuation_began
+                                        : result_code::evacuation_ended);
+      LogEvacuation(
+          row, settings.failure_domain, origin,
+          std::chrono::duration_cast<milliseconds>(now - fleet.ConfirmedAt()));
+      if (schedule.IsReader()) {
+        SendEvacuationNotice(row);
+      }
+    }
+    peers.Flush();
+  }
+
+  void SendEvacuationNotice(const domain_evacuation& row) {
+    for (const auto& [id, target] : fleet.Targets()) {
+      if (target.failure_domain == row.failure_domain && !target.removed) {
+        peers.Send({target.address.address, settings.delivery_port},
+                   EvacuationMessage(row));
+      }
+    }
+  }
+
+  // Repeats the evacuations in force to their agents.
+  void SendEvacuationNotices() {
+    if (!schedule.IsReader()) {
+      return;
+    }
+    for (const domain_evacuation& row : fleet.Evacuations().Since({})) {
+      if (row.evacuated) {
+        SendEvacuationNotice(row);
+      }
+    }
+    peers.Flush();
+  }
+
+  static mesh_message EvacuationMessage(const domain_evacuation& row) {
+    mesh_message message;
+    message.kind = mesh_kind::evacuation;
+    message.evacuation = row;
+    return message;
+  }
+
   void SendHello() {
     mesh_message message;
     message.kind = mesh_kind::hello;
@@ -400,6 +449,10 @@
                  const endpoint& sender,
                  const present_agent& agent,
                  bool absent) {
+    // The agent may have been started again and know nothing yet.
+    for (const domain_evacuation& row : fleet.Evacuations().Since({})) {
+      peers.Send(sender, EvacuationMessage(row));
+    }
     // Whether the target is listed and accepts new flows.
     const bool listed = std::any_of(
         fleet.Targets().begin(), fleet.Targets().end(), [&](const auto& entry) {
@@ -604,6 +657,7 @@
     const update_result result =
         has_list ? fleet.ApplyUpdate(now, *update) : update_result::gap;
     LogRestoration(previous);
+    OnEvacuationsChanged(now, "peer");
     if (result == update_result::lacks_configuration) {
       LogEvent(
           log_level::info, "configuration_announced",
@@ -664,6 +718,7 @@
     }
     fleet.ApplyUpdate(now, update);
     LogRestoration(previous);
+    OnEvacuationsChanged(now, "peer");
     ProcessEarlyAbsences(now);
     Publish(now);
   }
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -9,6 +9,7 @@
 #include "net/listen_probe.h"
 #include "net/sleep_clock.h"
 #include "net/udp_socket.h"
+#include "packet/fleet_state_log.h"
 #include "packet/metrics_server.h"
 #include "packet/settings_watcher.h"
 #include "product/admin_pages.h"
@@ -79,8 +80,11 @@
                      result_counters,
                      nullptr),
         agent(ClockWithSleep(),
-              {ServiceIdOf(settings.service), settings.first_start, started_ms,
-               settings.longest_flow},
+              {.service = ServiceIdOf(settings.service),
+               .first_start = settings.first_start,
+               .started_ms = started_ms,
+               .longest_flow = settings.longest_flow,
+               .failure_domain = HashName(settings.failure_domain)},
               format,
               *this,
               result_counters),
@@ -158,7 +162,12 @@
             OnHandoverPart(datagram.from, *message);
             return;
           }
+          const bool was_evacuated = agent.Evacuation().Row().evacuated;
           agent.OnEntryMessage(ClockWithSleep(), datagram.from, *message);
+          if (agent.Evacuation().Row().evacuated != was_evacuated) {
+            LogEvacuation(agent.Evacuation().Row(), settings.failure_domain,
+                          FormatEndpoint(datagram.from), std::nullopt);
+          }
           ProbeUnresponsiveTarget();
         },
         [this] { Flush(); });
--- a/Tests/core/packet_recorder.h
+++ b/Tests/core/packet_recorder.h
@@ -88,6 +88,8 @@
   service_id service;
   std::string packet;
   bool must_accept = false;
+  domain_evacuation evacuation;
+  std::uint32_t cold_flows_permille = 0;
 };
 
 /// Records the effects of an entry.
@@ -96,12 +98,13 @@
   void SendToAgent(machine_address machine,
                    const mesh_message& message) override {
     for (const flow_query& item : message.queries) {
-      deliveries.push_back({machine, true, message.service, {}, false});
+      deliveries.push_back({machine, true, message.service, {}, false, {}, 0});
       queried_flows.push_back(item.flow);
     }
     if (message.kind == mesh_kind::deliver) {
       deliveries.push_back({machine, message.searching, message.service,
-                            std::string(message.payload), message.must_accept});
+                            std::string(message.payload), message.must_accept,
+                            message.evacuation, message.cold_flows_permille});
     }
     ++messages;
   }
--- a/Tests/packet/fleet_synchronizer_test.cc
+++ b/Tests/packet/fleet_synchronizer_test.cc
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "core/flow_handover.h"
 #include "net/http_client.h"
 #include "synchronizer_fixture.h"
@@ -39,6 +41,64 @@
                   kPropagationLimit));
 }
 
+// Guards against new flows in an evacuated domain through entries that did not
+// read the request, since the reader stops, or cannot read, since they start
+// without the store; and against agents that nobody tells of it.
+TEST_CASE("an evacuation reaches all entries and agents, and ends everywhere") {
+  test_store store;
+  store.PutConfiguration(3);
+  store.PutTarget("target", 1, target_state::ready);
+  test_agent agent(99);
+  test_entry reader(store, 1);
+  test_entry second(store, 2);
+  test_entry third(store, 3);
+  REQUIRE(WaitUntil(
+      [&] {
+        return reader.GivesNewFlowsTo("target") &&
+               second.GivesNewFlowsTo("target") &&
+               third.GivesNewFlowsTo("target") &&
+               reader.Snapshot()->entries == 3;
+      },
+      3s));
+  std::this_thread::sleep_for(kSettlingTime);
+  store.SetEvacuated(kTargetDomain, true);
+  reader.Freeze();
+  CHECK(WaitUntil(
+      [&] {
+        return !second.GivesNewFlowsTo("target") &&
+               !third.GivesNewFlowsTo("target");
+      },
+      kPropagationLimit));
+  const auto agent_hears = [&](bool evacuated) {
+    const std::vector<mesh_message> received = agent.TakeReceived();
+    return std::any_of(received.begin(), received.end(),
+                       [&](const mesh_message& message) {
+                         return message.kind == mesh_kind::evacuation &&
+                                message.evacuation.evacuated == evacuated;
+                       });
+  };
+  CHECK(WaitUntil([&] { return agent_hears(true); }, kPropagationLimit));
+  test_entry late(store, 4);
+  late.Client().SetReachable(false);
+  CHECK(WaitUntil([&] { return late.Version() == 3; }, kPropagationLimit));
+  CHECK_FALSE(late.GivesNewFlowsTo("target"));
+  // An agent that is started again reports itself to the seeds.
+  agent.TakeReceived();
+  mesh_message present;
+  present.kind = mesh_kind::present;
+  agent.SendTo(2, present);
+  CHECK(WaitUntil([&] { return agent_hears(true); }, 500ms));
+  store.SetEvacuated(kTargetDomain, false);
+  CHECK(WaitUntil(
+      [&] {
+        return second.GivesNewFlowsTo("target") &&
+               third.GivesNewFlowsTo("target") &&
+               late.GivesNewFlowsTo("target");
+      },
+      kPropagationLimit));
+  CHECK(WaitUntil([&] { return agent_hears(false); }, kPropagationLimit));
+}
+
 // Guards against an entry that defers its own reads for good while its reader
 // announces a configuration that it cannot fetch, as on a link that loses one
 // direction.
--- a/Tests/packet/synchronizer_fixture.cc
+++ b/Tests/packet/synchronizer_fixture.cc
@@ -75,6 +75,7 @@
   target.id = TargetIdOf(name);
   target.address = ParseEndpoint(AddressOf(kTargetNumber) + ":8080");
   target.service = ServiceIdOf("service");
+  target.failure_domain = kTargetDomain;
   target.target_start_ms = 1000;
   target.report_number = report_number;
   target.state = reported;
@@ -88,6 +89,12 @@
   target.revision = {++content_.revision, content_.epoch};
 }
 
+void test_store::SetEvacuated(std::uint64_t failure_domain, bool evacuated) {
+  const std::lock_guard lock(mutex_);
+  content_.evacuations[failure_domain] = {
+      failure_domain, evacuated, {++content_.revision, content_.epoch}};
+}
+
 test_store::content test_store::Copy() const {
   const std::lock_guard lock(mutex_);
   return content_;
@@ -102,6 +109,9 @@
   for (auto& [name, target] : content_.targets) {
     target.revision.epoch = epoch;
   }
+  for (auto& [domain, row] : content_.evacuations) {
+    row.revision.epoch = epoch;
+  }
 }
 
 fleet_read_result test_store::Read(const content& content,
@@ -121,6 +131,12 @@
       result.targets.push_back(target);
     }
   }
+  for (const auto& [domain, row] : content.evacuations) {
+    if (row.revision.number > after.number &&
+        (after.IsSet() || row.evacuated)) {
+      result.evacuations.push_back(row);
+    }
+  }
   return result;
 }
 
--- a/Tests/packet/synchronizer_fixture.h
+++ b/Tests/packet/synchronizer_fixture.h
@@ -21,6 +21,9 @@
 
 namespace corianderplank {
 
+/// Failure domain of all targets in a test_store.
+constexpr std::uint64_t kTargetDomain = 77;
+
 /// A store with a revision counter and its whole history. Its methods may be
 /// called on any thread.
 class test_store {
@@ -30,6 +33,7 @@
     std::uint64_t revision = 1;
     std::shared_ptr<const fleet_configuration> configuration;
     std::map<std::string, fleet_target> targets;
+    std::map<std::uint64_t, domain_evacuation> evacuations;
   };
 
   /// @param version version of the configuration.
@@ -44,6 +48,11 @@
                  std::uint64_t report_number,
                  target_state reported);
 
+  /// @param failure_domain a failure domain; that of the targets is
+  ///     kTargetDomain.
+  /// @param evacuated whether its evacuation begins or ends.
+  void SetEvacuated(std::uint64_t failure_domain, bool evacuated);
+
   /// @param silent whether reads get no reply at all.
   void SetSilent(bool silent) { silent_ = silent; }
   bool IsSilent() const { return silent_; }
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -132,6 +132,21 @@
   CHECK(Read({{"2", first}, {"2", last}}, {}).status == read_status::complete);
 }
 
+// Guards against evacuations that count as ended since they are on another page
+// than the last one.
+TEST_CASE("the evacuations of all pages make a list") {
+  const auto page = [](const std::string& zone, bool truncated) {
+    return R"({"items":[{"Key":"op/evacuate/)" + zone +
+           R"(","Value":"e30=","Revision":9}],"Truncated":)" +
+           (truncated ? "true" : "false") + R"(,"AtRev":15})";
+  };
+  const fleet_read_result read =
+      Read({{"", page("a", true)}, {"", page("b", false)}}, {});
+  REQUIRE(read.evacuations.size() == 2);
+  CHECK(read.evacuations[0].failure_domain == HashName("a"));
+  CHECK(read.evacuations[1].failure_domain == HashName("b"));
+}
+
 /// @return a page with one item without a value.
 std::string PageWithKey(const std::string& key, bool truncated) {
   return R"({"items":[{"Key":")" + key + R"(","Revision":1}],"Truncated":)" +
--- a/Tests/platform/store_page_test.cc
+++ b/Tests/platform/store_page_test.cc
@@ -66,6 +66,45 @@
  "Services":[{"Name":"huvo11a"},{"Name":"wuno96b"}],
  "Limits":{"IdleTimeoutMs":15000}})";
 
+// The operator takes a failure domain back by removing the key.
+TEST_CASE("evacuations in lists and in changes") {
+  const auto list = ParsePage(Page({Item("op/evacuate/zhezkazgan", "{}", 412),
+                                    Item("op/evacuate/", "{}", 413)},
+                                   530),
+                              2, kNow);
+  REQUIRE(list);
+  CHECK(
+      list->read.evacuations ==
+      std::vector<domain_evacuation>{{HashName("zhezkazgan"), true, {412, 2}}});
+  CHECK(list->read.unusable_entries.size() == 1);
+  const json ended = {{"Key", "op/evacuate/zhezkazgan"},
+                      {"Revision", 531},
+                      {"Tombstone", true}};
+  const auto changes =
+      ParsePage(json{{"events", {Item("op/evacuate/balkhash", "", 529), ended}},
+                     {"AtRev", 531}}
+                    .dump(),
+                2, kNow);
+  REQUIRE(changes);
+  CHECK(changes->read.evacuations ==
+        std::vector<domain_evacuation>{
+            {HashName("balkhash"), true, {529, 2}},
+            {HashName("zhezkazgan"), false, {531, 2}}});
+}
+
+TEST_CASE("what a cold target of a service bears") {
+  json text = json::parse(kConfiguration);
+  text["Services"][0]["ColdStartS"] = 2.5;
+  text["Services"][0]["ColdPerS"] = 8;
+  text["Services"][1]["ColdStartS"] = -1;
+  text["Services"][1]["ColdPerS"] = "many";
+  const auto configuration = ParseConfigurationText(text.dump(), 412);
+  REQUIRE(configuration);
+  REQUIRE(configuration->cold_starts.size() == 1);
+  CHECK(configuration->cold_starts.at(ServiceIdOf("huvo11a")) ==
+        cold_start_policy{2500ms, 8.0});
+}
+
 TEST_CASE("a target") {
   const auto page = ParsePage(
       Page({Item("servers/i-1", Target().dump(), 412)}, 530), 0, kNow);
