--- a/Source/core/flow_decision.h
+++ b/Source/core/flow_decision.h
@@ -4,9 +4,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "core/flow_packet.h"
 #include "core/result_code.h"
+#include "link/link_budget.h"
 
 namespace corianderplank {
 
@@ -19,6 +21,8 @@
   std::uint64_t configuration_version = 0;
   /// Age of the fleet snapshot used; agents do not set it.
   std::chrono::milliseconds snapshot_age{0};
+  /// Refusal of a new flow: load of the entry's link.
+  std::optional<link_load> link;
 };
 
 }  // namespace corianderplank
--- a/Source/core/packet_entry.cc
+++ b/Source/core/packet_entry.cc
@@ -40,6 +40,7 @@
       own_failure_domain_(own_failure_domain),
       loads_(own_failure_domain),
       search_rate_limiter_(limits.search_bytes_per_second),
+      link_(limits.link_bytes_per_second),
       index_(
           std::make_shared<fleet_index>(std::make_shared<fleet_snapshot>())) {}
 
@@ -83,13 +84,15 @@
 void packet_entry::RecordDecision(time_point now,
                                   result_code code,
                                   const flow_address& flow,
-                                  machine_address machine) {
+                                  machine_address machine,
+                                  const std::optional<link_load>& link) {
   counters_.Add(code);
   const fleet_snapshot& snapshot = index_->Snapshot();
   flow_decision decision;
   decision.code = code;
   decision.flow = flow;
   decision.machine = machine;
+  decision.link = link;
   if (snapshot.configuration != nullptr) {
     decision.configuration_version = snapshot.configuration->version;
   }
@@ -134,6 +137,11 @@
               packet.acknowledgement);
     return;
   }
+  if (link_.IsNarrow()) {
+    const fleet_route* route = index_->FindRoute(flow.service);
+    link_.OnPacket(now, packet,
+                   route == nullptr ? request_policy() : route->policy);
+  }
   const auto found = flows_.find(flow);
   if (found == flows_.end()) {
     StartSearch(now, packet, InsertFlow(now, flow), 0);
@@ -271,6 +279,7 @@
     TickSearch(now, at, flow);
   }
   ExpireFlows(now);
+  link_.Expire(now);
   Flush();
 }
 
--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -21,6 +21,7 @@
 #include "core/mesh_message.h"
 #include "core/send_rate_limiter.h"
 #include "core/target_loads.h"
+#include "link/link_budget.h"
 
 namespace corianderplank {
 
@@ -52,6 +53,8 @@
   std::size_t max_flows = 100000;
   /// Rate of the traffic that searches for flow holders; 0 for no limit.
   std::uint64_t search_bytes_per_second = 0;
+  /// Capacity of the machine's link; 0 if not known.
+  std::uint64_t link_bytes_per_second = 0;
 };
 
 /// Forwards client packets to the agents of targets. All flow state is a cache:
@@ -105,6 +108,9 @@
   /// @return number of cached flows.
   std::size_t FlowCount() const { return flows_.size(); }
 
+  /// @return the account of the machine's link.
+  const link_budget& Link() const { return link_; }
+
  private:
   /// A target that has accepted the flow. Several may, if the opening packet
   /// was sent to more than one; the client chooses among them.
@@ -207,6 +213,11 @@
                      const flow_packet& packet,
                      const fleet_route* route,
                      flow_record& record);
+  /// Resets a new flow that the link cannot carry in time.
+  /// @return whether the flow was refused.
+  bool RefuseForLink(time_point now,
+                     const flow_packet& packet,
+                     const fleet_route& route);
   void OnFlowPacket(time_point now, const flow_packet& packet);
   /// Places each flow whose target did not respond within the timeout on
   /// another target.
@@ -348,7 +359,8 @@
   void RecordDecision(time_point now,
                       result_code code,
                       const flow_address& flow,
-                      machine_address machine);
+                      machine_address machine,
+                      const std::optional<link_load>& link = std::nullopt);
   /// Detects that the process was suspended since the previous call, and
   /// requests a confirmation of the snapshot in that case.
   void DetectSuspension(time_point now);
@@ -373,6 +385,7 @@
   std::uint64_t own_failure_domain_;
   target_loads loads_;
   send_rate_limiter search_rate_limiter_;
+  link_budget link_;
   std::shared_ptr<const fleet_index> index_;
   std::unordered_map<flow_address, flow_record, flow_address_hash> flows_;
   std::unordered_map<machine_address, ended_target_record> ended_targets_;
--- a/Source/core/packet_entry_opening.cc
+++ b/Source/core/packet_entry_opening.cc
@@ -89,6 +89,12 @@
     }
     return;
   }
+  // Only the first copy proves that no target has accepted the flow: another
+  // entry may have forwarded one that precedes a later copy.
+  if (packet.copies == 0 && found == flows_.end() &&
+      RefuseForLink(now, packet, *route)) {
+    return;
+  }
   flow_record& record = InsertFlow(now, flow);
   record = {};
   record.last_packet_at = now;
@@ -100,6 +106,20 @@
   PlaceFlow(now, flow, record);
 }
 
+bool packet_entry::RefuseForLink(time_point now,
+                                 const flow_packet& packet,
+                                 const fleet_route& route) {
+  const flow_address flow = packet.FromClient();
+  const link_admission admission = link_.Admit(now, flow, route.policy);
+  if (admission.admitted) {
+    return false;
+  }
+  RecordDecision(now, result_code::reset_link_full, flow, 0, admission.load);
+  effects_.SendToClient(flow.client,
+                        format_.EncodeReset(flow, packet.acknowledgement));
+  return true;
+}
+
 void packet_entry::RetryOpening(time_point now,
                                 const flow_address& flow,
                                 flow_record& record) {
--- a/Source/packet/decision_log.cc
+++ b/Source/packet/decision_log.cc
@@ -17,6 +17,17 @@
   if (!rate_limiter_.Allow(now, decision.code)) {
     return;
   }
+  if (decision.link) {
+    const link_load& link = *decision.link;
+    LogEvent(log_level::info, ResultCodeName(decision.code),
+             {{"client", FormatEndpoint(decision.flow.client)},
+              {"service", FormatEndpoint(decision.flow.service)},
+              {"transfers", std::to_string(link.transfers)},
+              {"backlog_bytes", std::to_string(link.backlog_bytes)},
+              {"expected_bytes", std::to_string(link.expected_bytes)},
+              {"drain_ms", std::to_string(link.drain_time.count())}});
+    return;
+  }
   LogEvent(log_level::info, ResultCodeName(decision.code),
            {{"client", FormatEndpoint(decision.flow.client)},
             {"service", FormatEndpoint(decision.flow.service)},
--- a/Source/packet/packet_entry_daemon.cc
+++ b/Source/packet/packet_entry_daemon.cc
@@ -10,6 +10,7 @@
 #include "net/udp_socket.h"
 #include "packet/decision_log.h"
 #include "packet/fleet_synchronizer.h"
+#include "packet/link_sender.h"
 #include "packet/metrics_server.h"
 #include "packet/settings_watcher.h"
 #include "product/admin_pages.h"
@@ -47,6 +48,7 @@
   packet_entry_limits limits;
   limits.search_bytes_per_second =
       settings.link_bytes_per_second / kSearchLinkDivisor;
+  limits.link_bytes_per_second = settings.link_bytes_per_second;
   return limits;
 }
 
@@ -72,6 +74,9 @@
               *this,
               result_counters,
               LimitsOf(settings)),
+        link(agent_socket,
+             result_counters,
+             entry.Link().IsNarrow() ? settings.link_bytes_per_second : 0),
         synchronizer(control,
                      settings,
                      source,
@@ -91,7 +96,7 @@
                 "entry",
                 settings.name,
                 result_counters,
-                [] { return std::string(); }),
+                [this] { return link.Metrics(); }),
         watcher(control,
                 options.path,
                 options.settings,
@@ -106,8 +111,11 @@
 
   void SendToAgent(machine_address machine,
                    const mesh_message& message) override {
-    agent_socket.Send({machine, settings.delivery_port},
-                      encoder.Encode(message));
+    const bool is_packet =
+        message.kind == mesh_kind::deliver && entry.Link().IsNarrow();
+    link.Send(ClockWithSleep(), {machine, settings.delivery_port}, message,
+              encoder.Encode(message),
+              is_packet ? entry.Link().RankOf(message.flow) : packet_rank());
   }
 
   void SendToClient(const endpoint& client, std::string_view packet) override {
@@ -119,18 +127,26 @@
   }
 
   void OnDecision(const flow_decision& decision) override {
+    if (decision.code == result_code::reset_link_full) {
+      link.OnRefused(decision.flow.service);
+    }
     decisions.Write(ClockWithSleep(), decision);
   }
 
   void Flush() {
     entry.Flush();
+    link.SendDue(ClockWithSleep());
     agent_socket.Flush();
     client_socket.Flush();
     ArmTimer();
   }
 
   void ArmTimer() {
-    const auto next = entry.NextTick();
+    std::optional<time_point> next = entry.NextTick();
+    if (const auto send_at = link.NextAt();
+        send_at && (!next || *send_at < *next)) {
+      next = send_at;
+    }
     if (!next || (timer_due_at && *timer_due_at <= *next)) {
       return;
     }
@@ -175,7 +191,8 @@
     traffic.Every(kCounterLogPeriod, [this] {
       LogEvent(log_level::info, "tally",
                {{"counters", CountersJson(result_counters)},
-                {"flows", std::to_string(entry.FlowCount())}});
+                {"flows", std::to_string(entry.FlowCount())},
+                {"link", link.Publish()}});
     });
     traffic.Run();
   }
@@ -227,6 +244,7 @@
   mesh_encoder encoder;
   decision_log decisions;
   packet_entry entry;
+  link_sender link;
   fleet_synchronizer synchronizer;
   lifecycle lifecycle_phase;
   http_server readiness;
