--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -29,6 +29,9 @@
 /// Window of a flow: the most packets that an end sends without an
 /// acknowledgement.
 constexpr std::size_t kMaxQueuedPackets = 16;
+/// Larger requests take several round trips to arrive, so that over a narrow
+/// link they would occupy a slot for most of the time without any work.
+constexpr std::uint64_t kTransferBytes = 2 * kWindowBytes;
 /// Share of the client's timeout for which a request may be held: afterwards
 /// it is forwarded, so that an answer can still be in time.
 constexpr int kMaxHoldDivisor = 2;
@@ -361,20 +364,31 @@
   }
   if (!record.queued_packets.empty()) {
     if (has_new_data && record.queued_packets.size() < kMaxQueuedPackets) {
+      record.request_bytes += packet.payload_bytes;
       record.queued_packets.emplace_back(packet.bytes);
     }
     return true;
   }
-  if (!has_new_data || record.request_active) {
+  if (!has_new_data) {
+    return false;
+  }
+  const flow_address flow = packet.FromClient();
+  if (record.request_active) {
+    record.request_bytes += packet.payload_bytes;
+    if (IsTransfer(flow, record) && scheduler_.OnArriving(now, flow)) {
+      ForwardQueuedRequests(now);
+    }
     return false;
   }
   record.request_active = true;
-  if (HoldWhileFailing(now, packet.FromClient(), record, waited)) {
+  record.request_bytes = packet.payload_bytes;
+  if (HoldWhileFailing(now, flow, record, waited)) {
     record.queued_packets.emplace_back(packet.bytes);
     return true;
   }
   const bool admitted =
-      scheduler_.Admit(now, packet.FromClient(), record.policy, waited);
+      (IsTransfer(flow, record) && scheduler_.OnArriving(now, flow)) ||
+      scheduler_.Admit(now, flow, record.policy, waited);
   load_.Set(now, scheduler_.CountAheadOfNew(now));
   if (admitted) {
     return false;
@@ -384,6 +398,12 @@
   return true;
 }
 
+bool packet_agent::IsTransfer(const flow_address& flow,
+                              const flow_record& record) const {
+  return std::max(record.request_bytes, request_sizes_.Expected(flow.service)) >
+         kTransferBytes;
+}
+
 void packet_agent::EndRequest(time_point now,
                               const flow_address& flow,
                               flow_record& record,
@@ -395,6 +415,7 @@
   record.queued_packets.clear();
   held_requests_.Remove(flow);
   if (answered) {
+    request_sizes_.Learn(flow.service, record.request_bytes);
     if (const auto service_time = scheduler_.Finish(now, flow)) {
       effects_.OnAnswered(*service_time);
     }
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -20,6 +20,7 @@
 #include "core/load_average.h"
 #include "core/mesh_message.h"
 #include "core/request_scheduler.h"
+#include "link/route_sizes.h"
 
 namespace corianderplank {
 
@@ -173,6 +174,8 @@
     /// When the client began to open the flow; default value if not known.
     time_point opening_began_at{};
     bool request_active = false;
+    /// Payload of the active request that has arrived.
+    std::uint64_t request_bytes = 0;
     /// End of the client's data received so far. Data beyond it is a new
     /// request if none is active.
     std::uint32_t client_data_end = 0;
@@ -244,6 +247,9 @@
   bool QueueIfBusy(time_point now,
                    flow_record& record,
                    const flow_packet& packet);
+  /// @return whether the active request is too large to arrive at once, by what
+  ///     has arrived or by what the requests of its route are like.
+  bool IsTransfer(const flow_address& flow, const flow_record& record) const;
   /// Holds a request that the client must not repeat while the target fails:
   /// the next requests that may be repeated show whether it works again.
   /// @param waited time that the client has already waited.
@@ -298,6 +304,7 @@
   std::uint32_t open_flows_ = 0;
   load_average load_;
   request_scheduler scheduler_;
+  route_sizes request_sizes_;
   circuit_breaker breaker_;
   /// Requests that wait until the target answers others again.
   held_requests held_requests_;
--- a/Source/core/request_scheduler.cc
+++ b/Source/core/request_scheduler.cc
@@ -21,6 +21,12 @@
 /// ahead of those that have waited longer even if the target is slower than
 /// that.
 constexpr double kMaxServiceTimeShare = 0.75;
+/// A request of which nothing has arrived for this long counts as complete: a
+/// few round trips, less than a client takes to repeat a lost packet.
+constexpr milliseconds kArrivalPause = 20ms;
+/// Requests for each slot that may be arriving: as many as are complete at
+/// about the same time must fit the target's own queue.
+constexpr std::size_t kMaxArrivingPerSlot = 4;
 
 }  // namespace
 
@@ -28,6 +34,13 @@
   if (slots_ == 0) {
     return true;
   }
+  std::erase_if(arriving_, [&](const forwarded_request& item) {
+    const bool is_complete = now - item.at > kArrivalPause;
+    if (is_complete) {
+      forwarded_.push_back(item);
+    }
+    return is_complete;
+  });
   std::erase_if(forwarded_, [&](const forwarded_request& item) {
     return now - item.at > kForwardedTimeout;
   });
@@ -53,14 +66,37 @@
   return false;
 }
 
+bool request_scheduler::OnArriving(time_point now, const flow_address& flow) {
+  const auto is_same = [&](const forwarded_request& item) {
+    return item.flow == flow;
+  };
+  const auto found = std::find_if(arriving_.begin(), arriving_.end(), is_same);
+  if (found != arriving_.end()) {
+    found->at = now;
+    return true;
+  }
+  if (arriving_.size() >= slots_ * kMaxArrivingPerSlot) {
+    return false;
+  }
+  std::erase_if(forwarded_, is_same);
+  arriving_.push_back({flow, now});
+  return true;
+}
+
 std::optional<milliseconds> request_scheduler::Finish(
     time_point now,
     const flow_address& flow) {
   std::optional<milliseconds> service_time;
-  const auto forwarded = std::find_if(
-      forwarded_.begin(), forwarded_.end(),
-      [&](const forwarded_request& item) { return item.flow == flow; });
-  if (forwarded != forwarded_.end()) {
+  const auto is_same = [&](const forwarded_request& item) {
+    return item.flow == flow;
+  };
+  auto forwarded = std::find_if(forwarded_.begin(), forwarded_.end(), is_same);
+  bool was_forwarded = forwarded != forwarded_.end();
+  if (!was_forwarded) {
+    forwarded = std::find_if(arriving_.begin(), arriving_.end(), is_same);
+    was_forwarded = forwarded != arriving_.end();
+  }
+  if (was_forwarded) {
     service_time =
         std::chrono::duration_cast<milliseconds>(now - forwarded->at);
     service_time_.Add(*service_time);
@@ -73,6 +109,9 @@
   std::erase_if(forwarded_, [&](const forwarded_request& item) {
     return item.flow == flow;
   });
+  std::erase_if(arriving_, [&](const forwarded_request& item) {
+    return item.flow == flow;
+  });
   std::erase_if(queued_,
                 [&](const queued_request& item) { return item.flow == flow; });
 }
@@ -103,7 +142,7 @@
       queued_.begin(), queued_.end(), [&](const queued_request& item) {
         return OnTimeChance(now, item) != chance::none;
       });
-  return forwarded_.size() + static_cast<std::size_t>(can_be_on_time);
+  return ForwardedCount() + static_cast<std::size_t>(can_be_on_time);
 }
 
 bool request_scheduler::Precedes(time_point now,
--- a/Source/core/request_scheduler.h
+++ b/Source/core/request_scheduler.h
@@ -47,6 +47,15 @@
              const request_policy& policy,
              std::chrono::milliseconds waited);
 
+  /// Notes that a request is still arriving from its client. It occupies no
+  /// slot until it has been there for a while: the target begins to work on it
+  /// once it is complete.
+  /// @param now current time of the monotonic clock.
+  /// @param flow flow of the request, which was forwarded or is new.
+  /// @return whether it is accepted as arriving; if not, since too many are,
+  ///     nothing has changed.
+  bool OnArriving(time_point now, const flow_address& flow);
+
   /// Removes an answered request. Records its service time, unless it was never
   /// forwarded or the timeout of forwarded requests has already removed it.
   /// @param now current time of the monotonic clock.
@@ -82,7 +91,9 @@
 
   /// @return number of requests at the target; may include requests that have
   ///     timed out, until the next check for capacity.
-  std::size_t ForwardedCount() const { return forwarded_.size(); }
+  std::size_t ForwardedCount() const {
+    return forwarded_.size() + arriving_.size();
+  }
   /// @return number of queued requests.
   std::size_t QueuedCount() const { return queued_.size(); }
 
@@ -119,6 +130,9 @@
 
   std::uint32_t slots_ = 0;
   std::vector<forwarded_request> forwarded_;
+  /// Forwarded requests that are not complete yet, and when their latest packet
+  /// arrived.
+  std::vector<forwarded_request> arriving_;
   std::vector<queued_request> queued_;
   service_time_estimate service_time_;
 };
--- a/Source/link/link_budget.cc
+++ b/Source/link/link_budget.cc
@@ -9,8 +9,6 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-/// Bytes that a client has in flight at most: 16 packets of 1,200 bytes.
-constexpr std::uint64_t kWindowBytes = 19200;
 /// A link that carries a window within a millisecond is filled only by hundreds
 /// of transfers at a time; accounts for it would never change a decision.
 constexpr std::uint64_t kNarrowBytesPerSecond = kWindowBytes * 1000;
@@ -31,8 +29,6 @@
 constexpr double kLeastBulkShare = 0.1;
 /// Time over which the rate of the other flows is averaged.
 constexpr double kAveragingSeconds = 0.5;
-/// Weight of the latest flow in a route's mean.
-constexpr double kLearningWeight = 0.1;
 
 double SecondsBetween(time_point begin, time_point end) {
   return std::max(0.0, std::chrono::duration<double>(end - begin).count());
@@ -40,11 +36,6 @@
 
 }  // namespace
 
-std::size_t link_budget::hash_of_route::operator()(
-    const endpoint& route) const {
-  return static_cast<std::size_t>(MixHash(route.address, route.port));
-}
-
 std::size_t link_budget::hash_of_flow::operator()(
     const flow_address& flow) const {
   return static_cast<std::size_t>(
@@ -64,7 +55,7 @@
   if (!narrow_) {
     return result;
   }
-  const std::uint64_t expected = ExpectedBytes(flow.service);
+  const std::uint64_t expected = sizes_.Expected(flow.service);
   if (expected > kBulkBytes && policy.latency_target > 0ms) {
     result.load = LoadWith(now, flow);
     // With no other transfer there is nothing to wait for: wherever else the
@@ -83,7 +74,7 @@
 link_load link_budget::LoadWith(time_point now,
                                 const flow_address& flow) const {
   link_load load;
-  load.expected_bytes = ExpectedBytes(flow.service);
+  load.expected_bytes = sizes_.Expected(flow.service);
   for (const auto& [other, item] : transfers_) {
     if (other == flow || item.finished || now - item.last_packet_at > kPause ||
         !IsBulk(other.service, item)) {
@@ -92,7 +83,7 @@
     ++load.transfers;
     // One that has brought as much as others do is not over: its next window
     // is on its way.
-    const std::uint64_t expected = ExpectedBytes(other.service);
+    const std::uint64_t expected = sizes_.Expected(other.service);
     load.backlog_bytes += std::max(
         kWindowBytes, expected - std::min(expected, item.payload_bytes));
   }
@@ -115,7 +106,7 @@
   if (added) {
     item.started_at = now;
   } else if (now - item.last_packet_at > kPause) {
-    Learn(flow.service, item.payload_bytes);
+    sizes_.Learn(flow.service, item.payload_bytes);
     item = transfer();
     item.started_at = now;
   }
@@ -141,15 +132,8 @@
   return rank;
 }
 
-std::uint64_t link_budget::ExpectedBytes(const endpoint& route) const {
-  const auto found = expected_bytes_.find(route);
-  return found == expected_bytes_.end()
-             ? 0
-             : static_cast<std::uint64_t>(found->second);
-}
-
 bool link_budget::IsBulk(const endpoint& route, const transfer& item) const {
-  return item.payload_bytes > kBulkBytes || ExpectedBytes(route) > kBulkBytes;
+  return item.payload_bytes > kBulkBytes || sizes_.Expected(route) > kBulkBytes;
 }
 
 double link_budget::BulkBytesPerSecond(time_point now) const {
@@ -170,24 +154,10 @@
   interactive_at_ = now;
 }
 
-void link_budget::Learn(const endpoint& route, std::uint64_t bytes) {
-  // Bare acknowledgements, as after the end of an upload, say nothing about the
-  // size of requests.
-  if (bytes == 0) {
-    return;
-  }
-  const auto [found, added] =
-      expected_bytes_.try_emplace(route, static_cast<double>(bytes));
-  if (!added) {
-    found->second +=
-        kLearningWeight * (static_cast<double>(bytes) - found->second);
-  }
-}
-
 void link_budget::Expire(time_point now) {
   for (auto item = transfers_.begin(); item != transfers_.end();) {
     if (now - item->second.last_packet_at > kPause) {
-      Learn(item->first.service, item->second.payload_bytes);
+      sizes_.Learn(item->first.service, item->second.payload_bytes);
       item = transfers_.erase(item);
     } else {
       ++item;
--- a/Source/link/link_budget.h
+++ b/Source/link/link_budget.h
@@ -11,6 +11,7 @@
 #include "core/flow_packet.h"
 #include "core/identifiers.h"
 #include "core/request_scheduler.h"
+#include "link/route_sizes.h"
 
 namespace corianderplank {
 
@@ -78,10 +79,6 @@
   /// @return the rank of its next packet.
   packet_rank RankOf(const flow_address& flow) const;
 
-  /// @param route address and port of a route.
-  /// @return bytes that a flow of it brings as a rule; 0 if not known.
-  std::uint64_t ExpectedBytes(const endpoint& route) const;
-
   /// Forgets transfers that have paused. Call every few hundred milliseconds.
   /// @param now current time.
   void Expire(time_point now);
@@ -100,22 +97,18 @@
   struct hash_of_flow {
     std::size_t operator()(const flow_address& flow) const;
   };
-  struct hash_of_route {
-    std::size_t operator()(const endpoint& route) const;
-  };
 
   bool IsBulk(const endpoint& route, const transfer& item) const;
   /// @return rate at which the link carries bulk, beside what the other flows
   ///     bring at present.
   double BulkBytesPerSecond(time_point now) const;
   link_load LoadWith(time_point now, const flow_address& flow) const;
-  void Learn(const endpoint& route, std::uint64_t bytes);
   void AddInteractive(time_point now, std::size_t bytes);
 
   std::uint64_t bytes_per_second_;
   bool narrow_;
   std::unordered_map<flow_address, transfer, hash_of_flow> transfers_;
-  std::unordered_map<endpoint, double, hash_of_route> expected_bytes_;
+  route_sizes sizes_;
   /// Bytes of other flows, decaying exponentially.
   double interactive_bytes_ = 0;
   time_point interactive_at_{};
