--- a/Source/core/request_scheduler.cc
+++ b/Source/core/request_scheduler.cc
@@ -26,7 +26,7 @@
 constexpr milliseconds kArrivalPause = 20ms;
 /// Requests for each slot that may be arriving: as many as are complete at
 /// about the same time must fit the target's own queue.
-constexpr std::size_t kMaxArrivingPerSlot = 4;
+constexpr std::size_t kMaxArrivingPerSlot = 16;
 
 }  // namespace
 
