--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -364,7 +364,6 @@
   }
   if (!record.queued_packets.empty()) {
     if (has_new_data && record.queued_packets.size() < kMaxQueuedPackets) {
-      record.request_bytes += packet.payload_bytes;
       record.queued_packets.emplace_back(packet.bytes);
     }
     return true;
@@ -374,14 +373,13 @@
   }
   const flow_address flow = packet.FromClient();
   if (record.request_active) {
-    record.request_bytes += packet.payload_bytes;
     if (IsTransfer(flow, record) && scheduler_.OnArriving(now, flow)) {
       ForwardQueuedRequests(now);
     }
     return false;
   }
   record.request_active = true;
-  record.request_bytes = packet.payload_bytes;
+  record.request_begin = packet.sequence;
   if (HoldWhileFailing(now, flow, record, waited)) {
     record.queued_packets.emplace_back(packet.bytes);
     return true;
@@ -400,7 +398,8 @@
 
 bool packet_agent::IsTransfer(const flow_address& flow,
                               const flow_record& record) const {
-  return std::max(record.request_bytes, request_sizes_.Expected(flow.service)) >
+  const std::uint64_t arrived = record.client_data_end - record.request_begin;
+  return std::max(arrived, request_sizes_.Expected(flow.service)) >
          kTransferBytes;
 }
 
@@ -415,7 +414,8 @@
   record.queued_packets.clear();
   held_requests_.Remove(flow);
   if (answered) {
-    request_sizes_.Learn(flow.service, record.request_bytes);
+    request_sizes_.Learn(flow.service,
+                         record.client_data_end - record.request_begin);
     if (const auto service_time = scheduler_.Finish(now, flow)) {
       effects_.OnAnswered(*service_time);
     }
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -174,8 +174,8 @@
     /// When the client began to open the flow; default value if not known.
     time_point opening_began_at{};
     bool request_active = false;
-    /// Payload of the active request that has arrived.
-    std::uint64_t request_bytes = 0;
+    /// Sequence number at which the client's latest request begins.
+    std::uint32_t request_begin = 0;
     /// End of the client's data received so far. Data beyond it is a new
     /// request if none is active.
     std::uint32_t client_data_end = 0;
