--- a/Tests/core/packet_entry_fixture.h
+++ b/Tests/core/packet_entry_fixture.h
@@ -18,8 +18,10 @@
 /// A packet_entry whose snapshot lists `targets` targets of kService and then
 /// `others` targets of kOtherService, on machines numbered from 1.
 struct entry_fixture {
-  explicit entry_fixture(std::uint32_t targets, std::uint32_t others = 0)
-      : entry(kOwnFailureDomain, format, effects, counted, {}) {
+  explicit entry_fixture(std::uint32_t targets,
+                         std::uint32_t others = 0,
+                         const packet_entry_limits& limits = {})
+      : entry(kOwnFailureDomain, format, effects, counted, limits) {
     auto configuration = std::make_shared<fleet_configuration>();
     configuration->version = 1;
     configuration->routes[kFlow.service].shares = {{kService, 1}};
