--- a/Source/link/link_budget.cc
+++ b/Source/link/link_budget.cc
@@ -19,10 +19,16 @@
 /// A transfer without a packet for longer has paused, and what comes next is
 /// another one. Above the 200 ms after which a client repeats a lost packet.
 constexpr milliseconds kPause = 300ms;
-/// Part of the latency target that the transfer itself may take. The rest is
-/// for the round trips of the opening, for the work at the target and for the
-/// spread of sizes about the mean.
-constexpr double kTransferPartOfTarget = 0.5;
+/// Part of the latency target that the transfer itself may take. One in ten of
+/// the transfers is twice as large as the mean or more; the rest is for the
+/// round trips of the opening and for the work at the target.
+constexpr double kTransferPartOfTarget = 0.35;
+/// An entry cannot know how often a client was refused elsewhere. One in three
+/// flows, as clients try about three times, may take twice as long, so that few
+/// clients are refused on each try while all links are full: late is better
+/// than never.
+constexpr std::size_t kFavouredDivisor = 3;
+constexpr double kFavouredPartOfTarget = 2 * kTransferPartOfTarget;
 /// Part of the link that bulk transfers may use; paced_queue paces them to it.
 constexpr double kUsableShare = 0.9;
 /// However much the other flows bring, bulk transfers get this share.
@@ -60,9 +66,12 @@
     result.load = LoadWith(now, flow);
     // With no other transfer there is nothing to wait for: wherever else the
     // client went, it would not be served earlier by a link like this one.
+    const bool favoured = hash_of_flow()(flow) % kFavouredDivisor == 0;
     result.admitted =
         result.load.transfers == 0 ||
-        result.load.drain_time <= policy.latency_target * kTransferPartOfTarget;
+        result.load.drain_time <=
+            policy.latency_target *
+                (favoured ? kFavouredPartOfTarget : kTransferPartOfTarget);
   }
   if (result.admitted) {
     transfers_[flow] = {
--- a/Source/link/link_budget.h
+++ b/Source/link/link_budget.h
@@ -56,7 +56,7 @@
   ///     learned.
   bool IsNarrow() const { return narrow_; }
 
-  /// Decides whether the link can carry a new flow within half of the route's
+  /// Decides whether the link can carry a new flow within a part of the route's
   /// latency target, and reserves room for it if so. Must only be called for a
   /// flow that is not open, since a refused one is reset.
   /// @param now current time.
