--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -35,6 +35,9 @@
 /// Window of a flow: the most packets that an end sends without an
 /// acknowledgement.
 constexpr std::size_t kMaxQueuedPackets = 16;
+/// Larger requests take several round trips to arrive, so that over a narrow
+/// link they would occupy a slot for most of the time without any work.
+constexpr std::uint64_t kTransferBytes = 2 * kWindowBytes;
 /// Share of the client's timeout for which a request may be held: afterwards
 /// it is forwarded, so that an answer can still be in time.
 constexpr int kMaxHoldDivisor = 2;
@@ -412,16 +415,25 @@
     }
     return true;
   }
-  if (!has_new_data || record.request_active) {
+  if (!has_new_data) {
+    return false;
+  }
+  const flow_address flow = packet.FromClient();
+  if (record.request_active) {
+    if (IsTransfer(flow, record) && scheduler_.OnArriving(now, flow)) {
+      ForwardQueuedRequests(now);
+    }
     return false;
   }
   record.request_active = true;
-  if (HoldWhileFailing(now, packet.FromClient(), record, waited)) {
+  record.request_begin = packet.sequence;
+  if (HoldWhileFailing(now, flow, record, waited)) {
     record.queued_packets.emplace_back(packet.bytes);
     return true;
   }
   const bool admitted =
-      scheduler_.Admit(now, packet.FromClient(), record.policy, waited);
+      (IsTransfer(flow, record) && scheduler_.OnArriving(now, flow)) ||
+      scheduler_.Admit(now, flow, record.policy, waited);
   load_.Set(now, scheduler_.CountAheadOfNew(now));
   if (admitted) {
     return false;
@@ -431,6 +443,13 @@
   return true;
 }
 
+bool packet_agent::IsTransfer(const flow_address& flow,
+                              const flow_record& record) const {
+  const std::uint64_t arrived = record.client_data_end - record.request_begin;
+  return std::max(arrived, request_sizes_.Expected(flow.service)) >
+         kTransferBytes;
+}
+
 void packet_agent::EndRequest(time_point now,
                               const flow_address& flow,
                               flow_record& record,
@@ -442,6 +461,8 @@
   record.queued_packets.clear();
   held_requests_.Remove(flow);
   if (answered) {
+    request_sizes_.Learn(flow.service,
+                         record.client_data_end - record.request_begin);
     if (const auto service_time = scheduler_.Finish(now, flow)) {
       effects_.OnAnswered(*service_time);
     }
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -22,6 +22,7 @@
 #include "core/request_scheduler.h"
 #include "evacuation/cold_flow_budget.h"
 #include "evacuation/evacuation_gate.h"
+#include "link/route_sizes.h"
 #include "liveness/target_end.h"
 
 namespace corianderplank {
@@ -187,6 +188,8 @@
     /// When the client began to open the flow; default value if not known.
     time_point opening_began_at{};
     bool request_active = false;
+    /// Sequence number at which the client's latest request begins.
+    std::uint32_t request_begin = 0;
     /// End of the client's data received so far. Data beyond it is a new
     /// request if none is active.
     std::uint32_t client_data_end = 0;
@@ -275,6 +278,9 @@
   bool QueueIfBusy(time_point now,
                    flow_record& record,
                    const flow_packet& packet);
+  /// @return whether the active request is too large to arrive at once, by what
+  ///     has arrived or by what the requests of its route are like.
+  bool IsTransfer(const flow_address& flow, const flow_record& record) const;
   /// Holds a request that the client must not repeat while the target fails:
   /// the next requests that may be repeated show whether it works again.
   /// @param waited time that the client has already waited.
@@ -330,6 +336,7 @@
   std::uint32_t open_flows_ = 0;
   load_average load_;
   request_scheduler scheduler_;
+  route_sizes request_sizes_;
   circuit_breaker breaker_;
   evacuation_gate evacuation_;
   cold_flow_budget cold_budget_;
