Pause targets whose answers look like errors

Cause: a target that says it is well and answers every request with an error has few requests in progress, so it attracts flows; what it answers is sealed. Change: an agent measures the size and the time of each answer and compares both with the typical ones of its target's peers, which entries gather from the agents. Only with the agreement health in the agent's settings.

--- a/Generated/mesh_generated.h
+++ b/Generated/mesh_generated.h
@@ -313,7 +313,8 @@
     VT_COLD_FLOWS_PERMILLE = 74,
     VT_PACE_PERMILLE = 76,
     VT_SERVICE_MS = 78,
-    VT_PROFILES = 80
+    VT_PROFILES = 80,
+    VT_SUSPECTED = 82
   };
   uint8_t version() const {
     return GetField<uint8_t>(VT_VERSION, 0);
@@ -432,6 +433,9 @@
   const flatbuffers::Vector<const corianderplank::schema::AnswerProfile *> *profiles() const {
     return GetPointer<const flatbuffers::Vector<const corianderplank::schema::AnswerProfile *> *>(VT_PROFILES);
   }
+  bool suspected() const {
+    return GetField<uint8_t>(VT_SUSPECTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_VERSION, 1) &&
@@ -480,6 +484,7 @@
            VerifyField<uint32_t>(verifier, VT_SERVICE_MS, 4) &&
            VerifyOffset(verifier, VT_PROFILES) &&
            verifier.VerifyVector(profiles()) &&
+           VerifyField<uint8_t>(verifier, VT_SUSPECTED, 1) &&
            verifier.EndTable();
   }
 };
@@ -605,6 +610,9 @@
   void add_profiles(flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::AnswerProfile *>> profiles) {
     fbb_.AddOffset(Mesh::VT_PROFILES, profiles);
   }
+  void add_suspected(bool suspected) {
+    fbb_.AddElement<uint8_t>(Mesh::VT_SUSPECTED, static_cast<uint8_t>(suspected), 0);
+  }
   explicit MeshBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -656,7 +664,8 @@
     uint32_t cold_flows_permille = 0,
     uint32_t pace_permille = 0,
     uint32_t service_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::AnswerProfile *>> profiles = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const corianderplank::schema::AnswerProfile *>> profiles = 0,
+    bool suspected = false) {
   MeshBuilder builder_(_fbb);
   builder_.add_sender_started_ms(sender_started_ms);
   builder_.add_born_ms(born_ms);
@@ -688,6 +697,7 @@
   builder_.add_slots(slots);
   builder_.add_service_address(service_address);
   builder_.add_client(client);
+  builder_.add_suspected(suspected);
   builder_.add_repeatable(repeatable);
   builder_.add_absent(absent);
   builder_.add_complete(complete);
@@ -740,7 +750,8 @@
     uint32_t cold_flows_permille = 0,
     uint32_t pace_permille = 0,
     uint32_t service_ms = 0,
-    const std::vector<corianderplank::schema::AnswerProfile> *profiles = nullptr) {
+    const std::vector<corianderplank::schema::AnswerProfile> *profiles = nullptr,
+    bool suspected = false) {
   auto questions__ = questions ? _fbb.CreateVectorOfStructs<corianderplank::schema::Question>(*questions) : 0;
   auto members__ = members ? _fbb.CreateVector<uint32_t>(*members) : 0;
   auto unlisted__ = unlisted ? _fbb.CreateVectorOfStructs<corianderplank::schema::PresentAgent>(*unlisted) : 0;
@@ -788,7 +799,8 @@
       cold_flows_permille,
       pace_permille,
       service_ms,
-      profiles__);
+      profiles__,
+      suspected);
 }
 
 struct Target FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/core/circuit_breaker.cc
+++ b/Source/core/circuit_breaker.cc
@@ -53,7 +53,12 @@
   if (!on_trial_ && consecutive_failures_ < kMaxFailures) {
     return;
   }
+  Pause(now);
+}
+
+void circuit_breaker::Pause(time_point now) {
   consecutive_failures_ = 0;
+  trial_began_at_ = time_point{};
   on_trial_ = true;
   serving_since_ = time_point{};
   last_pause_ = kFirstPause * (1U << std::min(relapses_, kMaxDoublings));
@@ -61,9 +66,15 @@
   ++relapses_;
 }
 
+milliseconds circuit_breaker::PauseLeft(time_point now) const {
+  return now < paused_until_
+             ? std::chrono::ceil<milliseconds>(paused_until_ - now)
+             : 0ms;
+}
+
 milliseconds circuit_breaker::Admit(time_point now) {
   if (now < paused_until_) {
-    return std::chrono::ceil<milliseconds>(paused_until_ - now);
+    return PauseLeft(now);
   }
   if (!on_trial_) {
     return 0ms;
--- a/Source/core/circuit_breaker.h
+++ b/Source/core/circuit_breaker.h
@@ -27,6 +27,19 @@
   /// @param now current time.
   void OnFailed(time_point now);
 
+  /// Begins a pause, longer than the previous one unless the target has
+  /// recovered since then.
+  /// @param now current time.
+  void Pause(time_point now);
+
+  /// @param now current time.
+  /// @return time until the pause ends; 0 if there is none.
+  std::chrono::milliseconds PauseLeft(time_point now) const;
+
+  /// @return whether the target has yet to serve for as long as its latest
+  ///     pause lasted.
+  bool IsOnTrial() const { return on_trial_; }
+
   /// @return whether the target has answered nothing since it began to fail.
   bool IsFailing() const { return on_trial_ && serving_since_ == time_point{}; }
 
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -156,6 +156,10 @@
   /// second it bears until then, in thousandths; 0 for no limit.
   std::chrono::milliseconds cold_for{0};
   std::uint32_t cold_flows_permille = 0;
+  /// Refused: the pause is since the target's answers differ from those of its
+  /// peers. Deliver: the sender knows of this, but the service cannot spare the
+  /// target.
+  bool suspected = false;
   /// Agent to entry: answers of its target; entry to agent: answers of its
   /// target's peers.
   std::vector<answer_profile> profiles;
--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -235,6 +235,10 @@
     return;
   }
   const flow_address flow = packet->FromClient();
+  if (settings_.watches_answers && !message.profiles.empty() &&
+      message.service == settings_.service) {
+    watch_.OnPeers(now, message.profiles);
+  }
   if (message.service != settings_.service) {
     counters_.Add(result_code::delivery_wrong_service);
     SendReply(now, packet->synchronize ? mesh_kind::refused : mesh_kind::denied,
@@ -258,6 +262,10 @@
         RefuseWhileFailing(now, entry, flow)) {
       return;
     }
+    if (found == flows_.end() && !message.suspected &&
+        RefuseWhileSuspected(now, entry, flow, message.policy.repeatable)) {
+      return;
+    }
     flow_record& record = FindOrInsert(now, flow);
     record.entry = entry;
     record.policy = message.policy;
@@ -308,6 +316,8 @@
   }
   if (packet->finish || packet->reset) {
     record.client_finished = true;
+    record.answer_pending &= !packet->reset;
+    JudgeAnswer(now, flow, record);
     EndRequest(now, flow, record, /*answered=*/false);
   }
   if (record.holder_report_due && (record.phase == flow_phase::open ||
@@ -338,6 +348,43 @@
   return true;
 }
 
+bool packet_agent::RefuseWhileSuspected(time_point now,
+                                        const endpoint& entry,
+                                        const flow_address& flow,
+                                        bool repeatable) {
+  const milliseconds pause = watch_.Admit(now, repeatable);
+  if (pause == 0ms) {
+    return false;
+  }
+  counters_.Add(result_code::opening_while_failing);
+  mesh_message message;
+  message.kind = mesh_kind::refused;
+  message.flow = flow;
+  message.service = settings_.service;
+  message.pause = pause;
+  message.suspected = true;
+  message.load = {open_flows_, load_.Permille(now)};
+  effects_.SendToEntry(entry, message);
+  return true;
+}
+
+void packet_agent::JudgeAnswer(time_point now,
+                               const flow_address& flow,
+                               flow_record& record) {
+  if (!record.answer_pending) {
+    return;
+  }
+  record.answer_pending = false;
+  const auto change = watch_.OnAnswer(
+      now, flow.service,
+      {record.answer_end - record.answer_begin, record.service_time});
+  if (change) {
+    counters_.Add(change->suspected ? result_code::target_suspected
+                                    : result_code::suspect_cleared);
+    effects_.OnSuspicion(*change);
+  }
+}
+
 bool packet_agent::QueueIfBusy(time_point now,
                                flow_record& record,
                                const flow_packet& packet) {
@@ -368,6 +415,7 @@
   if (!has_new_data || record.request_active) {
     return false;
   }
+  JudgeAnswer(now, packet.FromClient(), record);
   record.request_active = true;
   if (HoldWhileFailing(now, packet.FromClient(), record, waited)) {
     record.queued_packets.emplace_back(packet.bytes);
@@ -397,6 +445,8 @@
   if (answered) {
     if (const auto service_time = scheduler_.Finish(now, flow)) {
       effects_.OnAnswered(*service_time);
+      record.answer_pending = settings_.watches_answers;
+      record.service_time = *service_time;
     }
   } else {
     scheduler_.Cancel(flow);
@@ -541,6 +591,20 @@
       counters_.Add(result_code::request_cut_by_target);
       breaker_.OnFailed(now);
     }
+    const std::uint32_t data_end = packet.sequence + packet.payload_bytes;
+    if (record.request_active) {
+      record.answer_begin = packet.sequence;
+      record.answer_end = data_end;
+    } else if (packet.payload_bytes > 0) {
+      // Packets may arrive in any order.
+      if (static_cast<std::int32_t>(record.answer_begin - packet.sequence) >
+          0) {
+        record.answer_begin = packet.sequence;
+      }
+      if (static_cast<std::int32_t>(data_end - record.answer_end) > 0) {
+        record.answer_end = data_end;
+      }
+    }
     if (packet.payload_bytes > 0 || ended) {
       EndRequest(now, flow, record, packet.payload_bytes > 0);
     }
@@ -567,6 +631,9 @@
   message.sequence = sequence;
   message.load = {open_flows_, load_.Permille(now)};
   message.payload = packet;
+  if (settings_.watches_answers && kind == mesh_kind::opened) {
+    message.profiles = watch_.TakeDue(now, entry);
+  }
   effects_.SendToEntry(entry, message);
 }
 
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -20,6 +20,7 @@
 #include "core/load_average.h"
 #include "core/mesh_message.h"
 #include "core/request_scheduler.h"
+#include "detection/target_watch.h"
 
 namespace corianderplank {
 
@@ -41,6 +42,10 @@
   /// @param service_time time from forwarding the request to the target to the
   ///     first packet of its answer.
   virtual void OnAnswered(std::chrono::milliseconds service_time) = 0;
+  /// Reports that the target is suspected to fail its requests, or is not any
+  /// more.
+  /// @param change what has changed and why.
+  virtual void OnSuspicion(const suspicion_change& /*change*/) {}
 };
 
 /// Settings of a packet_agent.
@@ -57,6 +62,8 @@
   std::chrono::milliseconds longest_flow{60000};
   /// Number of flows above which the oldest one is evicted.
   std::size_t max_flows = 20000;
+  /// Whether answers are compared with those of the target's peers.
+  bool watches_answers = false;
 };
 
 /// Decides what happens to each packet and message of one agent. Reads no clock
@@ -173,6 +180,13 @@
     /// When the client began to open the flow; default value if not known.
     time_point opening_began_at{};
     bool request_active = false;
+    /// The latest request was answered, and its answer may not be complete.
+    bool answer_pending = false;
+    /// Service time of that request.
+    std::chrono::milliseconds service_time{0};
+    /// Begin and end of the target's data that answer it.
+    std::uint32_t answer_begin = 0;
+    std::uint32_t answer_end = 0;
     /// End of the client's data received so far. Data beyond it is a new
     /// request if none is active.
     std::uint32_t client_data_end = 0;
@@ -237,6 +251,17 @@
   bool RefuseWhileFailing(time_point now,
                           const endpoint& entry,
                           const flow_address& flow);
+  /// Refuses a new flow if the target's answers are suspected.
+  /// @return whether the flow was refused.
+  bool RefuseWhileSuspected(time_point now,
+                            const endpoint& entry,
+                            const flow_address& flow,
+                            bool repeatable);
+  /// Judges the answer that a flow has got, if any: a further request or the
+  /// flow's end has shown that it is complete.
+  void JudgeAnswer(time_point now,
+                   const flow_address& flow,
+                   flow_record& record);
   /// Sends a reset to the client of an open flow whose target has ended.
   void ResetClient(const flow_address& flow);
   /// @return whether the packet was queued (or dropped as a copy of a queued
@@ -299,6 +324,7 @@
   load_average load_;
   request_scheduler scheduler_;
   circuit_breaker breaker_;
+  target_watch watch_;
   /// Requests that wait until the target answers others again.
   held_requests held_requests_;
   std::unordered_map<flow_address, flow_record, flow_address_hash> flows_;
--- a/Source/core/packet_entry.cc
+++ b/Source/core/packet_entry.cc
@@ -49,6 +49,8 @@
   index_ =
       std::make_shared<fleet_index>(std::move(snapshot), own_failure_domain_);
   loads_.Retain(*index_);
+  peers_.Retain(*index_);
+  suspects_.Retain(*index_);
   loads_.SetEntryCount(index_->Snapshot().entries);
   PruneEndedTargets();
   agents_.Retain(*index_);
@@ -171,6 +173,9 @@
   switch (message.kind) {
     case mesh_kind::opened:
       loads_.OnLoadReport(now, machine, message.load);
+      if (!message.profiles.empty()) {
+        peers_.Add(now, message.service, machine, message.profiles);
+      }
       OnOpened(now, machine, message);
       return;
     case mesh_kind::holds:
@@ -242,7 +247,8 @@
   effects_.SendToAgent(machine, message);
 }
 
-void packet_entry::DeliverOpening(const flow_address& flow,
+void packet_entry::DeliverOpening(time_point now,
+                                  const flow_address& flow,
                                   machine_address machine,
                                   milliseconds waited,
                                   bool must_accept,
@@ -250,6 +256,8 @@
   mesh_message message = MakeDelivery(flow, machine, packet);
   message.waited = waited;
   message.must_accept = must_accept;
+  message.suspected = suspects_.IsNeeded(now, machine);
+  message.profiles = peers_.TakeDue(now, message.service, machine);
   effects_.SendToAgent(machine, message);
 }
 
--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -21,6 +21,8 @@
 #include "core/mesh_message.h"
 #include "core/send_rate_limiter.h"
 #include "core/target_loads.h"
+#include "detection/answer_profiles.h"
+#include "detection/suspect_limit.h"
 
 namespace corianderplank {
 
@@ -331,7 +333,8 @@
   /// Delivers an opening packet.
   /// @param waited how long the client has waited for the flow to open.
   /// @param must_accept the target accepts the flow even without a free slot.
-  void DeliverOpening(const flow_address& flow,
+  void DeliverOpening(time_point now,
+                      const flow_address& flow,
                       machine_address machine,
                       std::chrono::milliseconds waited,
                       bool must_accept,
@@ -372,6 +375,8 @@
   packet_entry_limits limits_;
   std::uint64_t own_failure_domain_;
   target_loads loads_;
+  peer_profiles peers_;
+  suspect_limit suspects_;
   send_rate_limiter search_rate_limiter_;
   std::shared_ptr<const fleet_index> index_;
   std::unordered_map<flow_address, flow_record, flow_address_hash> flows_;
--- a/Source/core/packet_entry_opening.cc
+++ b/Source/core/packet_entry_opening.cc
@@ -55,7 +55,7 @@
       return false;
     }
     RecordDecision(now, result_code::opening_copied, flow, machine);
-    DeliverOpening(flow, machine, packet.since_first_copy,
+    DeliverOpening(now, flow, machine, packet.since_first_copy,
                    /*must_accept=*/true, packet.bytes);
     return true;
   }
@@ -152,7 +152,7 @@
   loads_.OnFlowPlaced(machine);
   RecordDecision(now, result_code::flow_placed, flow, machine);
   DeliverOpening(
-      flow, machine,
+      now, flow, machine,
       std::chrono::duration_cast<milliseconds>(now - pending.started_at),
       must_accept, pending.packet);
   openings_.push_back({now + kOpeningTimeout, flow});
@@ -200,7 +200,17 @@
 void packet_entry::OnRefused(time_point now,
                              machine_address machine,
                              const mesh_message& message) {
-  loads_.OnFlowRefused(now, machine, message.pause);
+  const fleet_target* target = index_->FindTarget(machine);
+  const bool is_needed = message.suspected && target != nullptr &&
+                         !suspects_.OnPause(now, machine, message.pause,
+                                            index_->TargetsOf(target->service));
+  if (message.suspected) {
+    // Else the refused flow counts as load until the target accepts another.
+    loads_.OnLoadReport(now, machine, message.load);
+  }
+  if (!is_needed) {
+    loads_.OnFlowRefused(now, machine, message.pause);
+  }
   const auto found = flows_.find(message.flow);
   if (found == flows_.end() || found->second.pending_opening == nullptr ||
       !found->second.accepted.empty()) {
@@ -210,7 +220,12 @@
   if (!Contains(pending.tried, machine)) {
     return;
   }
-  ++pending.refusal_count;
+  if (is_needed) {
+    // The agent accepts it now, since DeliverOpening says so.
+    std::erase(pending.tried, machine);
+  } else {
+    ++pending.refusal_count;
+  }
   counters_.Add(result_code::opening_moved_for_refusal);
   PlaceFlow(now, message.flow, found->second);
 }
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -80,7 +80,8 @@
                      nullptr),
         agent(ClockWithSleep(),
               {ServiceIdOf(settings.service), settings.first_start, started_ms,
-               settings.longest_flow},
+               settings.longest_flow, packet_agent_settings().max_flows,
+               settings.watches_answers},
               format,
               *this,
               result_counters),
@@ -129,6 +130,22 @@
     answer_latencies.Add(answer_latency);
   }
 
+  void OnSuspicion(const suspicion_change& change) override {
+    LogEvent(log_level::info,
+             ResultCodeName(change.suspected ? result_code::target_suspected
+                                             : result_code::suspect_cleared),
+             {{"route", FormatEndpoint(change.route)},
+              {"bytes", std::to_string(change.answer.bytes)},
+              {"ms", std::to_string(change.answer.service_time.count())},
+              {"peers", std::to_string(change.peers.count)},
+              {"peers_bytes", std::to_string(change.peers.bytes)},
+              {"peers_ms", std::to_string(change.peers.service_time.count())},
+              {"peers_age_ms", std::to_string(change.peers_age.count())},
+              {"errors", std::to_string(change.suspect_answers)},
+              {"others", std::to_string(change.normal_answers)},
+              {"pause_ms", std::to_string(change.pause.count())}});
+  }
+
   void Flush() {
     target_socket.Flush();
     entry_socket.Flush();
--- a/Source/packet/packet_settings.cc
+++ b/Source/packet/packet_settings.cc
@@ -1,6 +1,8 @@
 #include "packet/packet_settings.h"
 
+#include <algorithm>
 #include <iostream>
+#include <string_view>
 
 #include "product/daemon_options.h"
 #include "product/log.h"
@@ -14,6 +16,8 @@
 constexpr double kMaxSeconds = 86400;
 constexpr double kMaxMbps = 1000000;
 constexpr double kBytesPerMbit = 125000;
+/// Agreement that targets are judged by their health.
+constexpr std::string_view kHealthAgreement = "health";
 
 std::uint16_t ReadPort(toml_section& root, const char* key) {
   return static_cast<std::uint16_t>(root.Number(key, 1, kMaxPort));
@@ -27,6 +31,20 @@
   return std::chrono::round<std::chrono::milliseconds>(value);
 }
 
+/// @param names names separated by commas.
+bool ContainsName(std::string_view names, std::string_view name) {
+  while (true) {
+    const std::size_t end = std::min(names.find(','), names.size());
+    if (names.substr(0, end) == name) {
+      return true;
+    }
+    if (end == names.size()) {
+      return false;
+    }
+    names.remove_prefix(end + 1);
+  }
+}
+
 void ReadEntry(toml_section& root, packet_settings& settings) {
   settings.fleet_state_endpoint = root.Address("belief");
   settings.platform = root.Address("platform");
@@ -36,6 +54,8 @@
   settings.service = root.Text("service");
   settings.target = root.Address("target");
   settings.outbound = root.Address("outbound");
+  settings.watches_answers =
+      ContainsName(root.TextOr("agreements", ""), kHealthAgreement);
 }
 
 packet_options ExitWith(int exit_code) {
--- a/Source/packet/packet_settings.h
+++ b/Source/packet/packet_settings.h
@@ -38,6 +38,9 @@
   endpoint fleet_state_endpoint;
   /// Endpoint of the platform's store; entries only.
   endpoint platform;
+  /// Whether the target's answers are compared with those of its peers; agents
+  /// only.
+  bool watches_answers = false;
   /// Name of the target's service; agents only.
   std::string service;
   /// Endpoint to which the agent delivers packets; agents only.
--- a/Source/wire/mesh_codec.cc
+++ b/Source/wire/mesh_codec.cc
@@ -288,6 +288,7 @@
   table.add_pace_permille(message.load.pace_permille);
   table.add_service_ms(ToMilliseconds(message.load.service_time));
   table.add_profiles(profiles);
+  table.add_suspected(message.suspected);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -372,6 +373,7 @@
   }
   message.cold_for = milliseconds(table->cold_for_ms());
   message.cold_flows_permille = table->cold_flows_permille();
+  message.suspected = table->suspected();
   if (table->profiles() != nullptr) {
     for (const schema::AnswerProfile* row : *table->profiles()) {
       message.profiles.push_back({{row->address(), row->port()},
