--- a/Source/detection/suspect_limit.cc
+++ b/Source/detection/suspect_limit.cc
@@ -20,6 +20,9 @@
   std::uint32_t spared_slots = 0;
   for (const fleet_target* item : targets) {
     const machine_address other = item->address.address;
+    if (other != machine && !item->AcceptsNewFlows(now)) {
+      continue;
+    }
     const std::uint32_t slots = std::max(1U, item->slots);
     const auto found = suspects_.find(other);
     const bool is_spared =
--- a/Tests/packet/packet_settings_test.cc
+++ b/Tests/packet/packet_settings_test.cc
@@ -48,6 +48,23 @@
   CHECK_FALSE(parsed.settings.first_start);
 }
 
+TEST_CASE("an agent watches answers if the health agreement is in force") {
+  const std::string agent = Replace(
+      kEntrySettings,
+      "belief = \"10.0.0.1:8166\"\nplatform = \"10.0.9.1:8169\"\n",
+      "service = \"a\"\ntarget = \"10.0.0.1:1\"\noutbound = \"10.0.0.1:2\"\n");
+  const auto watches = [&](const std::string& agreements) {
+    const auto parsed =
+        ParsePacketSettings("a.toml", agent + agreements, /*is_agent=*/true);
+    REQUIRE(parsed.errors.empty());
+    return parsed.settings.watches_answers;
+  };
+  CHECK_FALSE(watches(""));
+  CHECK_FALSE(watches("agreements = \"base,drain,unhealthy\"\n"));
+  CHECK(watches("agreements = \"base,health,drain\"\n"));
+  CHECK(watches("agreements = \"health\"\n"));
+}
+
 TEST_CASE("errors name the file, the setting and the accepted values") {
   struct invalid_case {
     std::string from;
--- a/Tests/wire/mesh_codec_test.cc
+++ b/Tests/wire/mesh_codec_test.cc
@@ -67,6 +67,19 @@
   return message;
 }
 
+TEST_CASE("answer profiles and suspicion survive a round trip") {
+  mesh_message sent;
+  sent.kind = mesh_kind::refused;
+  sent.suspected = true;
+  sent.profiles = {{{1, 2}, 3, 4ms, 5}, {{6, 7}, 8, 9ms, 10}};
+  mesh_encoder encoder;
+  const aligned_bytes bytes(encoder.Encode(sent));
+  const auto message = DecodeMesh(bytes.View());
+  REQUIRE(message);
+  CHECK(message->suspected);
+  CHECK(message->profiles == sent.profiles);
+}
+
 TEST_CASE("a message survives a round trip") {
   mesh_encoder encoder;
   const aligned_bytes bytes(encoder.Encode(FullMessage()));
