--- a/Source/packet/packet_settings.cc
+++ b/Source/packet/packet_settings.cc
@@ -31,20 +31,6 @@
   return std::chrono::round<std::chrono::milliseconds>(value);
 }
 
-/// @param names names separated by commas.
-bool ContainsName(std::string_view names, std::string_view name) {
-  while (true) {
-    const std::size_t end = std::min(names.find(','), names.size());
-    if (names.substr(0, end) == name) {
-      return true;
-    }
-    if (end == names.size()) {
-      return false;
-    }
-    names.remove_prefix(end + 1);
-  }
-}
-
 void ReadEntry(toml_section& root, packet_settings& settings) {
   settings.fleet_state_endpoint = root.Address("belief");
   settings.platform = root.Address("platform");
@@ -54,8 +40,9 @@
   settings.service = root.Text("service");
   settings.target = root.Address("target");
   settings.outbound = root.Address("outbound");
-  settings.watches_answers =
-      ContainsName(root.TextOr("agreements", ""), kHealthAgreement);
+  const std::vector<std::string> agreements = root.Texts("agreements");
+  settings.watches_answers = std::find(agreements.begin(), agreements.end(),
+                                       kHealthAgreement) != agreements.end();
 }
 
 packet_options ExitWith(int exit_code) {
--- a/Source/product/toml_reader.cc
+++ b/Source/product/toml_reader.cc
@@ -166,6 +166,24 @@
   return result;
 }
 
+std::vector<std::string> toml_section::Texts(const std::string& key) {
+  std::vector<std::string> result;
+  const toml::node* value = node_->Take(key);
+  if (value == nullptr) {
+    return result;
+  }
+  const toml::array* array = value->as_array();
+  if (array == nullptr ||
+      (!array->empty() && !array->is_homogeneous<std::string>())) {
+    node_->Error(key, value, "a list of texts");
+    return result;
+  }
+  for (const toml::node& item : *array) {
+    result.push_back(item.value_or(std::string()));
+  }
+  return result;
+}
+
 toml_section toml_section::Table(const std::string& key) {
   const toml::node* value = node_->Take(key);
   const toml::table* table = value == nullptr ? nullptr : value->as_table();
--- a/Source/product/toml_reader.h
+++ b/Source/product/toml_reader.h
@@ -78,6 +78,9 @@
   /// @param key a key that may be missing.
   /// @return its endpoints.
   std::vector<endpoint> Addresses(const std::string& key);
+  /// @param key a key that may be missing.
+  /// @return its texts.
+  std::vector<std::string> Texts(const std::string& key);
   /// @param key a table that may be missing.
   /// @return the table, empty when it is missing.
   toml_section Table(const std::string& key);
