End a suspicion that no answer can confirm or refute

Cause: without figures of its peers, or with routes that cannot be judged only, a suspected target would have got two flows a second for good.

--- a/Source/detection/target_watch.cc
+++ b/Source/detection/target_watch.cc
@@ -62,22 +62,42 @@
              : verdict::unknown;
 }
 
+suspicion_change target_watch::Clear(suspicion_change change) {
+  suspected_ = false;
+  suspect_answers_ = 0;
+  normal_answers_ = 0;
+  return change;
+}
+
+std::optional<suspicion_change> target_watch::OnUnjudged(
+    time_point now,
+    suspicion_change change) {
+  if (!suspected_ || now < paused_until_ || now - judged_at_ < kPeersLifetime) {
+    return std::nullopt;
+  }
+  change.suspect_answers = suspect_answers_;
+  change.normal_answers = normal_answers_;
+  breaker_ = {};
+  return Clear(change);
+}
+
 std::optional<suspicion_change> target_watch::OnAnswer(
     time_point now,
     const endpoint& route,
     const measured_answer& answer) {
   history_.Add(route, answer);
+  suspicion_change change;
+  change.route = route;
+  change.answer = answer;
   const auto peers = peers_.find(route);
   if (peers == peers_.end() || now - peers->second.at > kPeersLifetime) {
-    return std::nullopt;
+    return OnUnjudged(now, change);
   }
   const verdict result = Judge(answer, peers->second.profile);
   if (result == verdict::unknown) {
-    return std::nullopt;
+    return OnUnjudged(now, change);
   }
-  suspicion_change change;
-  change.route = route;
-  change.answer = answer;
+  judged_at_ = now;
   change.peers = peers->second.profile;
   change.peers_age =
       std::chrono::duration_cast<milliseconds>(now - peers->second.at);
@@ -101,10 +121,7 @@
     if (breaker_.IsOnTrial()) {
       return std::nullopt;
     }
-    suspected_ = false;
-    suspect_answers_ = 0;
-    normal_answers_ = 0;
-    return change;
+    return Clear(change);
   }
   evidence_ = std::max(0, evidence_ + (is_error ? kErrorWeight : -1));
   if (!is_error) {
--- a/Source/detection/target_watch.h
+++ b/Source/detection/target_watch.h
@@ -78,6 +78,11 @@
     time_point at{};
   };
 
+  /// Clears the target if no answer could be judged for a long time.
+  std::optional<suspicion_change> OnUnjudged(time_point now,
+                                             suspicion_change change);
+  suspicion_change Clear(suspicion_change change);
+
   static verdict Judge(const measured_answer& answer,
                        const answer_profile& peers);
 
@@ -90,6 +95,8 @@
   std::uint32_t suspect_answers_ = 0;
   std::uint32_t normal_answers_ = 0;
   time_point paused_until_{};
+  /// When an answer was last judged.
+  time_point judged_at_{};
   std::unordered_map<endpoint, time_point, endpoint_hash> sent_at_;
 };
 
--- a/Tests/detection/target_watch_test.cc
+++ b/Tests/detection/target_watch_test.cc
@@ -93,6 +93,18 @@
   CHECK_FALSE(restarted.OnAnswer(test.now, kRoute, kError));
 }
 
+// Failure: the entries that know the peers go away after a pause has begun.
+TEST_CASE("a suspicion ends if no answer can be judged any more") {
+  fixture test;
+  test.Answer(kError, 6);
+  test.now += 10s;
+  CHECK(test.watch.Admit(test.now, true) == 0ms);
+  CHECK(test.watch.Admit(test.now, true) > 0ms);
+  test.now += 10s;
+  CHECK_FALSE(test.Answer(kGood));
+  CHECK_FALSE(test.latest.suspected);
+}
+
 // Failure: the target fails through several trials and then works again.
 TEST_CASE("single flows try a suspected target until it works") {
   fixture test;
