--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -250,6 +250,10 @@
     return;
   }
   const flow_address flow = packet->FromClient();
+  if (settings_.watches_answers && !message.profiles.empty() &&
+      message.service == settings_.service) {
+    watch_.OnPeers(now, message.profiles);
+  }
   if (message.service != settings_.service) {
     counters_.Add(result_code::delivery_wrong_service);
     SendReply(now, packet->synchronize ? mesh_kind::refused : mesh_kind::denied,
@@ -282,6 +286,10 @@
         RefuseWhileFailing(now, entry, flow)) {
       return;
     }
+    if (found == flows_.end() && !message.suspected &&
+        RefuseWhileSuspected(now, entry, flow, message.policy.repeatable)) {
+      return;
+    }
     flow_record& record = FindOrInsert(now, flow);
     record.entry = entry;
     record.policy = message.policy;
@@ -333,6 +341,8 @@
   }
   if (packet->finish || packet->reset) {
     record.client_finished = true;
+    record.answer_pending &= !packet->reset;
+    JudgeAnswer(now, flow, record);
     EndRequest(now, flow, record, /*answered=*/false);
   }
   if (record.holder_report_due && (record.phase == flow_phase::open ||
@@ -388,6 +398,43 @@
   effects_.SendToEntry(entry, message);
 }
 
+bool packet_agent::RefuseWhileSuspected(time_point now,
+                                        const endpoint& entry,
+                                        const flow_address& flow,
+                                        bool repeatable) {
+  const milliseconds pause = watch_.Admit(now, repeatable);
+  if (pause == 0ms) {
+    return false;
+  }
+  counters_.Add(result_code::opening_while_failing);
+  mesh_message message;
+  message.kind = mesh_kind::refused;
+  message.flow = flow;
+  message.service = settings_.service;
+  message.pause = pause;
+  message.suspected = true;
+  message.load = {open_flows_, load_.Permille(now)};
+  effects_.SendToEntry(entry, message);
+  return true;
+}
+
+void packet_agent::JudgeAnswer(time_point now,
+                               const flow_address& flow,
+                               flow_record& record) {
+  if (!record.answer_pending) {
+    return;
+  }
+  record.answer_pending = false;
+  const auto change = watch_.OnAnswer(
+      now, flow.service,
+      {record.answer_end - record.answer_begin, record.service_time});
+  if (change) {
+    counters_.Add(change->suspected ? result_code::target_suspected
+                                    : result_code::suspect_cleared);
+    effects_.OnSuspicion(*change);
+  }
+}
+
 bool packet_agent::QueueIfBusy(time_point now,
                                flow_record& record,
                                const flow_packet& packet) {
@@ -425,6 +472,7 @@
     }
     return false;
   }
+  JudgeAnswer(now, packet.FromClient(), record);
   record.request_active = true;
   record.request_begin = packet.sequence;
   if (HoldWhileFailing(now, flow, record, waited)) {
@@ -465,6 +513,8 @@
                          record.client_data_end - record.request_begin);
     if (const auto service_time = scheduler_.Finish(now, flow)) {
       effects_.OnAnswered(*service_time);
+      record.answer_pending = settings_.watches_answers;
+      record.service_time = *service_time;
     }
   } else {
     scheduler_.Cancel(flow);
@@ -617,6 +667,20 @@
       counters_.Add(result_code::request_cut_by_target);
       breaker_.OnFailed(now);
     }
+    const std::uint32_t data_end = packet.sequence + packet.payload_bytes;
+    if (record.request_active) {
+      record.answer_begin = packet.sequence;
+      record.answer_end = data_end;
+    } else if (packet.payload_bytes > 0) {
+      // Packets may arrive in any order.
+      if (static_cast<std::int32_t>(record.answer_begin - packet.sequence) >
+          0) {
+        record.answer_begin = packet.sequence;
+      }
+      if (static_cast<std::int32_t>(data_end - record.answer_end) > 0) {
+        record.answer_end = data_end;
+      }
+    }
     if (packet.payload_bytes > 0 || ended) {
       EndRequest(now, flow, record, packet.payload_bytes > 0);
     }
@@ -643,6 +707,9 @@
   message.sequence = sequence;
   message.load = {open_flows_, load_.Permille(now)};
   message.payload = packet;
+  if (settings_.watches_answers && kind == mesh_kind::opened) {
+    message.profiles = watch_.TakeDue(now, entry);
+  }
   effects_.SendToEntry(entry, message);
 }
 
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -20,6 +20,7 @@
 #include "core/load_average.h"
 #include "core/mesh_message.h"
 #include "core/request_scheduler.h"
+#include "detection/target_watch.h"
 #include "evacuation/cold_flow_budget.h"
 #include "evacuation/evacuation_gate.h"
 #include "link/route_sizes.h"
@@ -45,6 +46,10 @@
   /// @param service_time time from forwarding the request to the target to the
   ///     first packet of its answer.
   virtual void OnAnswered(std::chrono::milliseconds service_time) = 0;
+  /// Reports that the target is suspected to fail its requests, or is not any
+  /// more.
+  /// @param change what has changed and why.
+  virtual void OnSuspicion(const suspicion_change& /*change*/) {}
 };
 
 /// Settings of a packet_agent.
@@ -63,6 +68,8 @@
   std::size_t max_flows = 20000;
   /// HashName of the agent's failure domain; 0 if not known.
   std::uint64_t failure_domain = 0;
+  /// Whether answers are compared with those of the target's peers.
+  bool watches_answers = false;
 };
 
 /// Decides what happens to each packet and message of one agent. Reads no clock
@@ -190,6 +197,13 @@
     bool request_active = false;
     /// Sequence number at which the client's latest request begins.
     std::uint32_t request_begin = 0;
+    /// The latest request was answered, and its answer may not be complete.
+    bool answer_pending = false;
+    /// Service time of that request.
+    std::chrono::milliseconds service_time{0};
+    /// Begin and end of the target's data that answer it.
+    std::uint32_t answer_begin = 0;
+    std::uint32_t answer_end = 0;
     /// End of the client's data received so far. Data beyond it is a new
     /// request if none is active.
     std::uint32_t client_data_end = 0;
@@ -271,6 +285,17 @@
                           const flow_address& flow);
   /// @return whether the target has something left to do on the flow.
   static bool IsBusy(const flow_record& record);
+  /// Refuses a new flow if the target's answers are suspected.
+  /// @return whether the flow was refused.
+  bool RefuseWhileSuspected(time_point now,
+                            const endpoint& entry,
+                            const flow_address& flow,
+                            bool repeatable);
+  /// Judges the answer that a flow has got, if any: a further request or the
+  /// flow's end has shown that it is complete.
+  void JudgeAnswer(time_point now,
+                   const flow_address& flow,
+                   flow_record& record);
   /// Sends a reset to the client of an open flow whose target has ended.
   void ResetClient(const flow_address& flow);
   /// @return whether the packet was queued (or dropped as a copy of a queued
@@ -340,6 +365,7 @@
   circuit_breaker breaker_;
   evacuation_gate evacuation_;
   cold_flow_budget cold_budget_;
+  target_watch watch_;
   /// Requests that wait until the target answers others again.
   held_requests held_requests_;
   std::unordered_map<flow_address, flow_record, flow_address_hash> flows_;
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -85,7 +85,8 @@
                .first_start = settings.first_start,
                .started_ms = started_ms,
                .longest_flow = settings.longest_flow,
-               .failure_domain = HashName(settings.failure_domain)},
+               .failure_domain = HashName(settings.failure_domain),
+               .watches_answers = settings.watches_answers},
               format,
               *this,
               result_counters),
@@ -134,6 +135,22 @@
     answer_latencies.Add(answer_latency);
   }
 
+  void OnSuspicion(const suspicion_change& change) override {
+    LogEvent(log_level::info,
+             ResultCodeName(change.suspected ? result_code::target_suspected
+                                             : result_code::suspect_cleared),
+             {{"route", FormatEndpoint(change.route)},
+              {"bytes", std::to_string(change.answer.bytes)},
+              {"ms", std::to_string(change.answer.service_time.count())},
+              {"peers", std::to_string(change.peers.count)},
+              {"peers_bytes", std::to_string(change.peers.bytes)},
+              {"peers_ms", std::to_string(change.peers.service_time.count())},
+              {"peers_age_ms", std::to_string(change.peers_age.count())},
+              {"errors", std::to_string(change.suspect_answers)},
+              {"others", std::to_string(change.normal_answers)},
+              {"pause_ms", std::to_string(change.pause.count())}});
+  }
+
   void Flush() {
     target_socket.Flush();
     entry_socket.Flush();
--- a/Source/packet/packet_settings.cc
+++ b/Source/packet/packet_settings.cc
@@ -1,6 +1,8 @@
 #include "packet/packet_settings.h"
 
+#include <algorithm>
 #include <iostream>
+#include <string_view>
 
 #include "product/daemon_options.h"
 #include "product/log.h"
@@ -14,6 +16,8 @@
 constexpr double kMaxSeconds = 86400;
 constexpr double kMaxMbps = 1000000;
 constexpr double kBytesPerMbit = 125000;
+/// Agreement that targets are judged by their health.
+constexpr std::string_view kHealthAgreement = "health";
 
 std::uint16_t ReadPort(toml_section& root, const char* key) {
   return static_cast<std::uint16_t>(root.Number(key, 1, kMaxPort));
@@ -36,6 +40,9 @@
   settings.service = root.Text("service");
   settings.target = root.Address("target");
   settings.outbound = root.Address("outbound");
+  const std::vector<std::string> agreements = root.Texts("agreements");
+  settings.watches_answers = std::find(agreements.begin(), agreements.end(),
+                                       kHealthAgreement) != agreements.end();
 }
 
 packet_options ExitWith(int exit_code) {
