Name a domain's evacuation in openings only, publish its change at once

Cause: each packet to an agent in a domain that was evacuated once carried 32 bytes more, though only new flows depend on them. Change: openings alone carry the row; a changed evacuation is published.

--- a/Source/core/packet_entry.cc
+++ b/Source/core/packet_entry.cc
@@ -216,7 +216,6 @@
     message.target_start_ms = target->removed ? 0 : target->target_start_ms;
     message.known_for = std::chrono::duration_cast<milliseconds>(
         last_call_at_ - std::min(last_call_at_, target->first_seen_at));
-    message.evacuation = index_->EvacuationOf(target->failure_domain);
   }
   return message;
 }
@@ -252,6 +251,7 @@
   message.waited = waited;
   message.must_accept = must_accept;
   if (const fleet_target* target = index_->FindTarget(machine)) {
+    message.evacuation = index_->EvacuationOf(target->failure_domain);
     const cold_target_state cold = index_->ColdStateOf(last_call_at_, *target);
     message.cold_for = cold.remaining;
     message.cold_flows_permille = cold.flows_permille;
--- a/Source/evacuation/evacuation_table.cc
+++ b/Source/evacuation/evacuation_table.cc
@@ -10,6 +10,15 @@
 /// Domains that were renamed must not accumulate.
 constexpr std::size_t kMaxEnded = 64;
 
+/// @return whether the rows have the domain of `known` as evacuated.
+bool Contains(const std::vector<domain_evacuation>& rows,
+              const domain_evacuation& known) {
+  return std::any_of(
+      rows.begin(), rows.end(), [&](const domain_evacuation& row) {
+        return row.failure_domain == known.failure_domain && row.evacuated;
+      });
+}
+
 }  // namespace
 
 void evacuation_table::Apply(const domain_evacuation& row) {
@@ -30,11 +39,7 @@
   ApplyChanges(rows);
   std::vector<domain_evacuation> ended;
   for (const auto& [domain, known] : rows_) {
-    const bool is_listed = std::any_of(
-        rows.begin(), rows.end(), [&](const domain_evacuation& row) {
-          return row.failure_domain == domain && row.evacuated;
-        });
-    if (known.evacuated && !is_listed) {
+    if (known.evacuated && !Contains(rows, known)) {
       ended.push_back({domain, false, revision});
     }
   }
--- a/Source/packet/fleet_synchronizer.cc
+++ b/Source/packet/fleet_synchronizer.cc
@@ -331,7 +331,8 @@
   // Agents are the last check before their targets: they refuse new flows even
   // from entries that have missed the evacuation, and learn of its end.
   void OnEvacuationsChanged(time_point now, const std::string& origin) {
-    for (const domain_evacuation& row : fleet.CollectEvacuations()) {
+    const std::vector<domain_evacuation> changes = fleet.CollectEvacuations();
+    for (const domain_evacuation& row : changes) {
       result_counters.Add(row.evacuated ? result_code::evacuation_began
                                         : result_code::evacuation_ended);
       LogEvacuation(
@@ -341,7 +342,11 @@
         SendEvacuationNotice(row);
       }
     }
-    peers.Flush();
+    if (!changes.empty()) {
+      // Also if the rest of a peer's update has to be fetched first.
+      Publish(now);
+      peers.Flush();
+    }
   }
 
   void SendEvacuationNotice(const domain_evacuation& row) {
