--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -94,8 +94,8 @@
 
 # Only platform/ knows the names of the users' platform.
 check_platform_names() {
-  ! git grep -lE 'kv-(key|range|watch)|ColdRemainingMs|DatagramAddr|TrafficSplit|op/config' \
-    -- 'Source/*' 'Tests/core/*' 'Tests/wire/*' 'Tests/net/*' 'Tests/packet/*'
+  ! git grep -lE 'kv-(key|range|watch)|ColdRemainingMs|DatagramAddr|TrafficSplit|op/(config|evacuate)|ColdPerS' \
+    -- 'Source/*' 'Tests/core/*' 'Tests/evacuation/*' 'Tests/wire/*' 'Tests/net/*' 'Tests/packet/*'
 }
 
 # What the deploy file builds, without the tests.
@@ -112,7 +112,7 @@
     run_without_known_red "$build-address" core
 }
 
-# Core, wire, net, packet and platform under the address and undefined-behaviour sanitizers.
+# All test programs but product under the address and undefined-behaviour sanitizers.
 check_sanitizers() {
   # Under the sanitizers GCC 12 reports uninitialized reads in Boost.Histogram,
   # wrongly; the plain build is the one whose warnings are errors. With -O2 a
@@ -121,12 +121,13 @@
     -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g -DNDEBUG" \
     -DCORIANDERPLANK_WARNINGS_AS_ERRORS=OFF \
     -DCORIANDERPLANK_SANITIZE=address,undefined >/dev/null &&
-    ninja -C "$build-address" core_test wire_test net_test packet_test \
-      platform_test >/dev/null &&
+    ninja -C "$build-address" core_test evacuation_test wire_test net_test \
+      packet_test platform_test >/dev/null &&
     UBSAN_OPTIONS=halt_on_error=1 run_without_known_red "$build-address" net ||
     return 1
   start sanitized_core run_sanitized_core
   UBSAN_OPTIONS=halt_on_error=1 run_without_known_red "$build-address" wire &&
+    UBSAN_OPTIONS=halt_on_error=1 run_without_known_red "$build-address" evacuation &&
     UBSAN_OPTIONS=halt_on_error=1 run_without_known_red "$build-address" packet >/dev/null &&
     UBSAN_OPTIONS=halt_on_error=1 RC_PARAMS="seed=7 max_success=500" \
       run_without_known_red "$build-address" platform
@@ -153,7 +154,7 @@
 check lint check_lint
 check platform_names check_platform_names
 check deploy_build check_deploy_build
-for name in core wire product packet platform; do
+for name in core evacuation wire product packet platform; do
   check "$name" run_without_known_red "$build" "$name"
   check_known_red_cases "$name" "$build"
 done
