--- a/Tests/core/narrow_link_test.cc
+++ b/Tests/core/narrow_link_test.cc
@@ -94,5 +94,48 @@
   CHECK(scheduler.Finish(kStart + 215ms, flow(1)) == 15ms);
 }
 
+// Load: six clients send 43,200 bytes each to a target of two slots over narrow
+// links. Counted as work, the fourth would wait until the first has arrived.
+TEST_CASE("an agent forwards large requests while others still arrive") {
+  plain_format format;
+  agent_recorder effects;
+  counters counted;
+  packet_agent_settings settings;
+  settings.service = kService;
+  settings.first_start = true;
+  packet_agent agent(kStart, settings, format, effects, counted);
+  const auto deliver = [&](time_point now, const flow_packet& packet) {
+    const std::string bytes = plain_format::Encode(packet);
+    mesh_message message;
+    message.kind = mesh_kind::deliver;
+    message.service = kService;
+    message.slots = 2;
+    message.must_accept = true;
+    message.payload = bytes;
+    agent.OnEntryMessage(now, {1, 7720}, message);
+  };
+  for (std::uint16_t port = 1; port <= 6; ++port) {
+    flow_packet packet = entry_fixture::Packet();
+    packet.source.port = port;
+    packet.synchronize = true;
+    deliver(kStart, packet);
+    std::swap(packet.source, packet.destination);
+    packet.acknowledge = true;
+    packet.sequence = 500;
+    agent.OnTargetDatagram(kStart, plain_format::Encode(packet));
+    packet = entry_fixture::Packet();
+    packet.source.port = port;
+    packet.acknowledge = true;
+    packet.acknowledgement = 501;
+    packet.payload_bytes = 1200;
+    for (int count = 0; count < 36; ++count) {
+      packet.sequence = 1 + 1200 * static_cast<std::uint32_t>(count);
+      deliver(kStart + 1ms, packet);
+    }
+  }
+  CHECK(counted.Get(result_code::request_held) == 0);
+  CHECK(effects.to_target.size() == 6 * 37);
+}
+
 }  // namespace
 }  // namespace corianderplank
