--- a/Source/packet/link_sender.cc
+++ b/Source/packet/link_sender.cc
@@ -94,7 +94,7 @@
 }
 
 void link_sender::SendDue(time_point now) {
-  if (queue_) {
+  if (NextAt()) {
     queue_->SendDue(now, [this](const endpoint& to, std::string_view bytes) {
       socket_.Send(to, bytes);
     });
