--- a/Source/packet/packet_entry_daemon.cc
+++ b/Source/packet/packet_entry_daemon.cc
@@ -113,7 +113,7 @@
                    const mesh_message& message) override {
     const bool is_packet =
         message.kind == mesh_kind::deliver && entry.Link().IsNarrow();
-    link.Send(ClockWithSleep(), {machine, settings.delivery_port}, message,
+    link.Send(traffic_now, {machine, settings.delivery_port}, message,
               encoder.Encode(message),
               is_packet ? entry.Link().RankOf(message.flow) : packet_rank());
   }
@@ -122,6 +122,12 @@
     client_socket.Send({client.address, settings.packet_port}, packet);
   }
 
+  // Reads the clock, once for each event if possible.
+  time_point Now() {
+    traffic_now = ClockWithSleep();
+    return traffic_now;
+  }
+
   void RequestConfirmation() override {
     control.Post([this] { synchronizer.RequestConfirmation(); });
   }
@@ -130,12 +136,14 @@
     if (decision.code == result_code::reset_link_full) {
       link.OnRefused(decision.flow.service);
     }
-    decisions.Write(ClockWithSleep(), decision);
+    decisions.Write(traffic_now, decision);
   }
 
   void Flush() {
     entry.Flush();
-    link.SendDue(ClockWithSleep());
+    if (link.NextAt()) {
+      link.SendDue(Now());
+    }
     agent_socket.Flush();
     client_socket.Flush();
     ArmTimer();
@@ -163,14 +171,14 @@
   // before the timeout, and repeated queries would make it slower still.
   void Tick() {
     agent_socket.ReadPending();
-    entry.Tick(ClockWithSleep());
+    entry.Tick(Now());
     Flush();
   }
 
   void RunTraffic() {
     client_socket.Receive(
         [this](const received_datagram& datagram) {
-          const time_point now = ClockWithSleep();
+          const time_point now = Now();
           last_packet_at = now;
           entry.OnClientDatagram(now, datagram.bytes);
         },
@@ -182,8 +190,7 @@
             result_counters.Add(result_code::malformed_message);
             return;
           }
-          entry.OnAgentMessage(ClockWithSleep(), datagram.from.address,
-                               *message);
+          entry.OnAgentMessage(Now(), datagram.from.address, *message);
         },
         [this] { Flush(); });
     traffic.Every(kMaxTickPeriod, [this] { Tick(); });
@@ -206,7 +213,7 @@
                {{"targets", std::to_string(snapshot->targets.size())}});
     }
     traffic.Post([this, snapshot = std::move(snapshot)] {
-      entry.OnSnapshot(ClockWithSleep(), snapshot);
+      entry.OnSnapshot(Now(), snapshot);
     });
   }
 
@@ -251,6 +258,8 @@
   metrics_server metrics;
   settings_watcher watcher;
   std::optional<time_point> timer_due_at;
+  /// When the event that is handled was read; traffic thread only.
+  time_point traffic_now{};
   std::atomic<time_point> last_packet_at{time_point{}};
   time_point stop_requested_at{};
   bool stopping = false;
