--- a/Source/packet/packet_entry_daemon.cc
+++ b/Source/packet/packet_entry_daemon.cc
@@ -141,27 +141,41 @@
 
   void Flush() {
     entry.Flush();
+    SendPaced();
+    client_socket.Flush();
+    ArmTimer();
+  }
+
+  // Sends the paced packets whose turn has come, and does not read or tick: it
+  // runs for nearly every packet of a full link.
+  void SendPaced() {
     if (link.NextAt()) {
       link.SendDue(Now());
     }
     agent_socket.Flush();
-    client_socket.Flush();
-    ArmTimer();
+    const auto next = link.NextAt();
+    if (!next || pacing_timer_is_set) {
+      return;
+    }
+    pacing_timer_is_set = true;
+    traffic.After(DelayUntil(*next), [this] {
+      pacing_timer_is_set = false;
+      SendPaced();
+    });
+  }
+
+  static milliseconds DelayUntil(time_point at) {
+    return std::chrono::ceil<milliseconds>(
+        std::max(at - ClockWithSleep(), time_point::duration(0)));
   }
 
   void ArmTimer() {
-    std::optional<time_point> next = entry.NextTick();
-    if (const auto send_at = link.NextAt();
-        send_at && (!next || *send_at < *next)) {
-      next = send_at;
-    }
+    const auto next = entry.NextTick();
     if (!next || (timer_due_at && *timer_due_at <= *next)) {
       return;
     }
     timer_due_at = next;
-    const auto delay = std::chrono::ceil<milliseconds>(
-        std::max(*next - ClockWithSleep(), time_point::duration(0)));
-    traffic.After(delay, [this] {
+    traffic.After(DelayUntil(*next), [this] {
       timer_due_at.reset();
       Tick();
     });
@@ -258,6 +272,7 @@
   metrics_server metrics;
   settings_watcher watcher;
   std::optional<time_point> timer_due_at;
+  bool pacing_timer_is_set = false;
   /// When the event that is handled was read; traffic thread only.
   time_point traffic_now{};
   std::atomic<time_point> last_packet_at{time_point{}};
