--- a/Source/link/link_budget.cc
+++ b/Source/link/link_budget.cc
@@ -36,6 +36,9 @@
 /// Time over which the rate of the other flows is averaged.
 constexpr double kAveragingSeconds = 0.5;
 
+/// Least time between two walks over all transfers.
+constexpr milliseconds kExpiryPeriod = 100ms;
+
 double SecondsBetween(time_point begin, time_point end) {
   return std::max(0.0, std::chrono::duration<double>(end - begin).count());
 }
@@ -164,6 +167,10 @@
 }
 
 void link_budget::Expire(time_point now) {
+  if (now - expired_at_ < kExpiryPeriod) {
+    return;
+  }
+  expired_at_ = now;
   for (auto item = transfers_.begin(); item != transfers_.end();) {
     if (now - item->second.last_packet_at > kPause) {
       sizes_.Learn(item->first.service, item->second.payload_bytes);
--- a/Source/link/link_budget.h
+++ b/Source/link/link_budget.h
@@ -79,7 +79,8 @@
   /// @return the rank of its next packet.
   packet_rank RankOf(const flow_address& flow) const;
 
-  /// Forgets transfers that have paused. Call every few hundred milliseconds.
+  /// Forgets transfers that have paused. Call at least every few hundred
+  /// milliseconds; it does nothing within 100 ms of the last time.
   /// @param now current time.
   void Expire(time_point now);
 
@@ -112,6 +113,8 @@
   /// Bytes of other flows, decaying exponentially.
   double interactive_bytes_ = 0;
   time_point interactive_at_{};
+  /// When Expire last walked over the transfers.
+  time_point expired_at_{};
 };
 
 }  // namespace corianderplank
