--- a/Source/packet/packet_entry_daemon.cc
+++ b/Source/packet/packet_entry_daemon.cc
@@ -113,7 +113,7 @@
                    const mesh_message& message) override {
     const bool is_packet =
         message.kind == mesh_kind::deliver && entry.Link().IsNarrow();
-    link.Send(ClockWithSleep(), {machine, settings.delivery_port}, message,
+    link.Send(traffic_now, {machine, settings.delivery_port}, message,
               encoder.Encode(message),
               is_packet ? entry.Link().RankOf(message.flow) : packet_rank());
   }
@@ -122,6 +122,12 @@
     client_socket.Send({client.address, settings.packet_port}, packet);
   }
 
+  // Reads the clock, once for each event if possible.
+  time_point Now() {
+    traffic_now = ClockWithSleep();
+    return traffic_now;
+  }
+
   void RequestConfirmation() override {
     control.Post([this] { synchronizer.RequestConfirmation(); });
   }
@@ -130,30 +136,46 @@
     if (decision.code == result_code::reset_link_full) {
       link.OnRefused(decision.flow.service);
     }
-    decisions.Write(ClockWithSleep(), decision);
+    decisions.Write(traffic_now, decision);
   }
 
   void Flush() {
     entry.Flush();
-    link.SendDue(ClockWithSleep());
-    agent_socket.Flush();
+    SendPaced();
     client_socket.Flush();
     ArmTimer();
   }
 
-  void ArmTimer() {
-    std::optional<time_point> next = entry.NextTick();
-    if (const auto send_at = link.NextAt();
-        send_at && (!next || *send_at < *next)) {
-      next = send_at;
+  // Sends the paced packets whose turn has come, and does not read or tick: it
+  // runs for nearly every packet of a full link.
+  void SendPaced() {
+    if (link.NextAt()) {
+      link.SendDue(Now());
+    }
+    agent_socket.Flush();
+    const auto next = link.NextAt();
+    if (!next || pacing_timer_is_set) {
+      return;
     }
+    pacing_timer_is_set = true;
+    traffic.After(DelayUntil(*next), [this] {
+      pacing_timer_is_set = false;
+      SendPaced();
+    });
+  }
+
+  static milliseconds DelayUntil(time_point at) {
+    return std::chrono::ceil<milliseconds>(
+        std::max(at - ClockWithSleep(), time_point::duration(0)));
+  }
+
+  void ArmTimer() {
+    const auto next = entry.NextTick();
     if (!next || (timer_due_at && *timer_due_at <= *next)) {
       return;
     }
     timer_due_at = next;
-    const auto delay = std::chrono::ceil<milliseconds>(
-        std::max(*next - ClockWithSleep(), time_point::duration(0)));
-    traffic.After(delay, [this] {
+    traffic.After(DelayUntil(*next), [this] {
       timer_due_at.reset();
       Tick();
     });
@@ -163,14 +185,14 @@
   // before the timeout, and repeated queries would make it slower still.
   void Tick() {
     agent_socket.ReadPending();
-    entry.Tick(ClockWithSleep());
+    entry.Tick(Now());
     Flush();
   }
 
   void RunTraffic() {
     client_socket.Receive(
         [this](const received_datagram& datagram) {
-          const time_point now = ClockWithSleep();
+          const time_point now = Now();
           last_packet_at = now;
           entry.OnClientDatagram(now, datagram.bytes);
         },
@@ -182,8 +204,7 @@
             result_counters.Add(result_code::malformed_message);
             return;
           }
-          entry.OnAgentMessage(ClockWithSleep(), datagram.from.address,
-                               *message);
+          entry.OnAgentMessage(Now(), datagram.from.address, *message);
         },
         [this] { Flush(); });
     traffic.Every(kMaxTickPeriod, [this] { Tick(); });
@@ -206,7 +227,7 @@
                {{"targets", std::to_string(snapshot->targets.size())}});
     }
     traffic.Post([this, snapshot = std::move(snapshot)] {
-      entry.OnSnapshot(ClockWithSleep(), snapshot);
+      entry.OnSnapshot(Now(), snapshot);
     });
   }
 
@@ -251,6 +272,9 @@
   metrics_server metrics;
   settings_watcher watcher;
   std::optional<time_point> timer_due_at;
+  bool pacing_timer_is_set = false;
+  /// When the event that is handled was read; traffic thread only.
+  time_point traffic_now{};
   std::atomic<time_point> last_packet_at{time_point{}};
   time_point stop_requested_at{};
   bool stopping = false;
