Learn what a target can do from its answers

Cause: an agent forwards by slots alone, and an entry places by requests in progress, so a target that starts is avoided for a fixed time and one that turns slow is filled like its peers. Change: target_pace learns pace and service time by route at the agent; completion_time rates a target by them at the entry. Agents report both in the load; the setting pace of an agent switches it on.

--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -47,7 +47,11 @@
       format_(format),
       effects_(effects),
       counters_(counters),
-      started_at_(now) {}
+      started_at_(now) {
+  if (settings_.learns_pace) {
+    scheduler_.LearnPace();
+  }
+}
 
 bool packet_agent::KnowsAllFlows(time_point now,
                                  std::int64_t target_start_ms) const {
@@ -76,6 +80,7 @@
   }
   if (message.slots != 0 && message.service == settings_.service) {
     scheduler_.SetSlots(message.slots);
+    OnTargetStart(now, message);
   }
   const bool is_search =
       message.kind == mesh_kind::flow_queries ||
@@ -88,6 +93,36 @@
   HandleEntryMessage(now, entry, message);
 }
 
+agent_load packet_agent::Load(time_point now) {
+  constexpr std::uint32_t kPermille = 1000;
+  return {open_flows_, load_.Permille(now),
+          scheduler_.Pace().Limit() * kPermille,
+          std::chrono::round<milliseconds>(scheduler_.Pace().ServiceTime())};
+}
+
+void packet_agent::OnTargetStart(time_point now, const mesh_message& message) {
+  const auto agent_ran_for =
+      std::chrono::duration_cast<milliseconds>(now - started_at_);
+  const milliseconds ran_for =
+      message.target_start_ms == 0 || settings_.started_ms == 0
+          ? message.known_for
+          : agent_ran_for +
+                milliseconds(settings_.started_ms - message.target_start_ms);
+  scheduler_.OnTargetStarted(now, message.target_start_ms,
+                             std::max(ran_for, message.known_for));
+  ReportPaceChange();
+}
+
+void packet_agent::ReportPaceChange() {
+  const std::optional<pace_change> change = scheduler_.TakePaceChange();
+  if (!change) {
+    return;
+  }
+  counters_.Add(change->to < change->from ? result_code::pace_lowered
+                                          : result_code::pace_raised);
+  effects_.OnPaceChanged(*change);
+}
+
 void packet_agent::HandleEntryMessage(time_point now,
                                       const endpoint& entry,
                                       const mesh_message& message) {
@@ -166,7 +201,7 @@
   mesh_message reply;
   reply.kind = mesh_kind::flow_query_results;
   reply.service = settings_.service;
-  reply.load = {open_flows_, load_.Permille(now)};
+  reply.load = Load(now);
   reply.queries = message.queries;
   for (flow_query& item : reply.queries) {
     item.result =
@@ -183,7 +218,7 @@
   mesh_message reply;
   reply.kind = mesh_kind::flows;
   reply.service = settings_.service;
-  reply.load = {open_flows_, load_.Permille(now)};
+  reply.load = Load(now);
   reply.round = message.round;
   const bool is_ours = message.service == settings_.service;
   const bool fits = flows_.size() <= kMaxFlowListEntries;
@@ -333,7 +368,7 @@
   message.flow = flow;
   message.service = settings_.service;
   message.pause = pause;
-  message.load = {open_flows_, load_.Permille(now)};
+  message.load = Load(now);
   effects_.SendToEntry(entry, message);
   return true;
 }
@@ -397,6 +432,7 @@
   if (answered) {
     if (const auto service_time = scheduler_.Finish(now, flow)) {
       effects_.OnAnswered(*service_time);
+      ReportPaceChange();
     }
   } else {
     scheduler_.Cancel(flow);
@@ -490,6 +526,8 @@
   const std::string restored = format_.RestoreReturned(packet.bytes);
   if (packet.synchronize) {
     counters_.Add(result_code::returned_opening);
+    scheduler_.OnTargetFailed(now);
+    ReportPaceChange();
     if (found->second.phase == flow_phase::unconfirmed) {
       Remove(now, flow);
     }
@@ -540,6 +578,8 @@
                record.queued_packets.empty() && !target_had_finished) {
       counters_.Add(result_code::request_cut_by_target);
       breaker_.OnFailed(now);
+      scheduler_.OnTargetFailed(now);
+      ReportPaceChange();
     }
     if (packet.payload_bytes > 0 || ended) {
       EndRequest(now, flow, record, packet.payload_bytes > 0);
@@ -565,7 +605,7 @@
   message.service = settings_.service;
   message.wrong_service = wrong_service;
   message.sequence = sequence;
-  message.load = {open_flows_, load_.Permille(now)};
+  message.load = Load(now);
   message.payload = packet;
   effects_.SendToEntry(entry, message);
 }
@@ -636,6 +676,8 @@
 
 void packet_agent::OnTargetAbsent(time_point now, time_point checked_at) {
   target_was_absent_ = true;
+  scheduler_.OnTargetFailed(now);
+  ReportPaceChange();
   unanswered_since_ = time_point{};
   std::vector<flow_address> lost_flows;
   for (const auto& [flow, record] : flows_) {
--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -41,6 +41,9 @@
   /// @param service_time time from forwarding the request to the target to the
   ///     first packet of its answer.
   virtual void OnAnswered(std::chrono::milliseconds service_time) = 0;
+  /// Reports that the target gets more or fewer requests at a time.
+  /// @param change the change and what it was decided on.
+  virtual void OnPaceChanged(const pace_change& /*change*/) {}
 };
 
 /// Settings of a packet_agent.
@@ -55,6 +58,9 @@
   /// An open flow without packets for this long is expired; an agent that has
   /// run for longer than this knows all flows of its target.
   std::chrono::milliseconds longest_flow{60000};
+  /// The target's answers decide how many requests it gets at a time, up to its
+  /// slots.
+  bool learns_pace = false;
   /// Number of flows above which the oldest one is evicted.
   std::size_t max_flows = 20000;
 };
@@ -261,6 +267,12 @@
                   const flow_address& flow,
                   flow_record& record,
                   bool answered);
+  /// @return the load to report.
+  agent_load Load(time_point now);
+  /// Records which start of the target an entry reports.
+  void OnTargetStart(time_point now, const mesh_message& message);
+  /// Counts and reports a change of the pace, if there is one.
+  void ReportPaceChange();
   /// Forwards queued requests while the target has capacity.
   void ForwardQueuedRequests(time_point now);
   /// Also keeps the number of open flows.
--- a/Source/core/request_scheduler.cc
+++ b/Source/core/request_scheduler.cc
@@ -24,16 +24,38 @@
 
 }  // namespace
 
+void request_scheduler::OnTargetStarted(time_point now,
+                                        std::int64_t start_ms,
+                                        milliseconds ran_for) {
+  if (learns_pace_ && slots_ != 0) {
+    pace_.SetSlots(now, slots_);
+    pace_.OnStarted(now, start_ms, ran_for);
+  }
+}
+
+void request_scheduler::OnTargetFailed(time_point now) {
+  if (learns_pace_) {
+    pace_.OnFailed(now);
+  }
+}
+
+void request_scheduler::MarkForwarded(time_point now,
+                                      const flow_address& flow) {
+  forwarded_.push_back(
+      {flow, now, static_cast<std::uint32_t>(forwarded_.size() + 1)});
+}
+
 bool request_scheduler::HasCapacity(time_point now, bool can_be_on_time) {
-  if (slots_ == 0) {
+  const std::uint32_t places = Places();
+  if (places == 0) {
     return true;
   }
   std::erase_if(forwarded_, [&](const forwarded_request& item) {
     return now - item.at > kForwardedTimeout;
   });
   const std::uint32_t extra =
-      can_be_on_time ? std::max(1U, slots_ / kExtraSlotsDivisor) : 0;
-  return forwarded_.size() < slots_ + extra;
+      can_be_on_time ? std::max(1U, places / kExtraSlotsDivisor) : 0;
+  return forwarded_.size() < places + extra;
 }
 
 bool request_scheduler::Admit(time_point now,
@@ -46,7 +68,7 @@
       queued_.begin(), queued_.end(),
       [&](const queued_request& other) { return Precedes(now, other, item); });
   if (is_next && HasCapacity(now, can_be_on_time)) {
-    forwarded_.push_back({flow, now});
+    MarkForwarded(now, flow);
     return true;
   }
   queued_.push_back(item);
@@ -64,6 +86,12 @@
     service_time =
         std::chrono::duration_cast<milliseconds>(now - forwarded->at);
     service_time_.Add(*service_time);
+    if (learns_pace_) {
+      pace_.OnAnswered(now, flow.service,
+                       std::chrono::duration_cast<std::chrono::microseconds>(
+                           now - forwarded->at),
+                       forwarded->in_progress);
+    }
   }
   Cancel(flow);
   return service_time;
@@ -88,11 +116,13 @@
       item.policy.latency_target - (now - item.began_at);
   const fine_milliseconds max_service_time =
       kMaxServiceTimeShare * item.policy.latency_target;
-  if (std::min<fine_milliseconds>(service_time_.UpperEstimate(),
+  const service_time_estimate& service_time =
+      learns_pace_ ? pace_.EstimateFor(item.flow.service) : service_time_;
+  if (std::min<fine_milliseconds>(service_time.UpperEstimate(),
                                   max_service_time) < left) {
     return chance::likely;
   }
-  return std::min<fine_milliseconds>(service_time_.LowerEstimate(),
+  return std::min<fine_milliseconds>(service_time.LowerEstimate(),
                                      max_service_time) < left
              ? chance::possible
              : chance::none;
@@ -134,7 +164,7 @@
   }
   const flow_address flow = best->flow;
   queued_.erase(best);
-  forwarded_.push_back({flow, now});
+  MarkForwarded(now, flow);
   return flow;
 }
 
--- a/Source/core/request_scheduler.h
+++ b/Source/core/request_scheduler.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "core/flow_packet.h"
-#include "core/service_time_estimate.h"
+#include "pace/target_pace.h"
 
 namespace corianderplank {
 
@@ -36,6 +36,31 @@
   ///     not known, in which case every request is admitted.
   void SetSlots(std::uint32_t slots) { slots_ = slots; }
 
+  /// Lets the target's answers decide how many requests it gets at a time; the
+  /// slots stay the upper limit. Estimates of service times are by route then.
+  void LearnPace() { learns_pace_ = true; }
+
+  /// Reports which start of the target is meant; needed only if the pace is
+  /// learned, after SetSlots.
+  /// @param now current time of the monotonic clock.
+  /// @param start_ms Unix time of the start in milliseconds; 0 if not known.
+  /// @param ran_for how long the target has been running at least.
+  void OnTargetStarted(time_point now,
+                       std::int64_t start_ms,
+                       std::chrono::milliseconds ran_for);
+
+  /// Records that the target has failed a request, refused a flow or was
+  /// absent.
+  /// @param now current time of the monotonic clock.
+  void OnTargetFailed(time_point now);
+
+  /// @return what the target's answers have shown; no slots are known to it
+  ///     unless the pace is learned.
+  const target_pace& Pace() const { return pace_; }
+
+  /// @return the latest change of the pace since the last call.
+  std::optional<pace_change> TakePaceChange() { return pace_.TakeChange(); }
+
   /// Admits or queues a request whose first packet has arrived.
   /// @param now current time of the monotonic clock.
   /// @param flow flow of the request; must have no other request here.
@@ -70,7 +95,7 @@
   ///     still forward a request, into a place beyond the slots. False if the
   ///     number of slots is not known.
   bool IsFull() const {
-    return slots_ != 0 && (!queued_.empty() || forwarded_.size() >= slots_);
+    return Places() != 0 && (!queued_.empty() || forwarded_.size() >= Places());
   }
 
   /// @param now current time of the monotonic clock.
@@ -97,6 +122,8 @@
   struct forwarded_request {
     flow_address flow;
     time_point at{};
+    /// Number of requests in progress with this one.
+    std::uint32_t in_progress = 0;
   };
 
   /// Chance of a request to meet its latency target, best first. Compares the
@@ -117,7 +144,13 @@
                 const queued_request& left,
                 const queued_request& right) const;
 
+  /// @return number of requests to forward at a time; 0 if not known.
+  std::uint32_t Places() const { return learns_pace_ ? pace_.Limit() : slots_; }
+  void MarkForwarded(time_point now, const flow_address& flow);
+
   std::uint32_t slots_ = 0;
+  bool learns_pace_ = false;
+  target_pace pace_;
   std::vector<forwarded_request> forwarded_;
   std::vector<queued_request> queued_;
   service_time_estimate service_time_;
--- a/Source/core/target_loads.cc
+++ b/Source/core/target_loads.cc
@@ -30,7 +30,8 @@
 /// Upper limit of that penalty, in thousandths of the slots: a full target
 /// costs more than the traffic.
 constexpr std::uint64_t kMaxRemotePenaltyPermille = 100;
-/// Penalty of a target that is still slow after its start.
+/// Penalty of a target that is still slow after its start and has not shown its
+/// service time.
 constexpr std::uint64_t kWarmUpPenaltyPermille = 300;
 /// Age at which a load report expires: a few times the service time of a
 /// request, and the time constant of the agents' averages.
@@ -101,23 +102,40 @@
          std::max(1U, target.slots);
 }
 
-std::uint64_t target_loads::MeanUtilization(
+target_loads::service_means target_loads::Means(
     time_point now,
     const std::vector<const fleet_target*>& targets) const {
   std::uint64_t sum = 0;
   std::uint64_t reported_count = 0;
+  milliseconds service_time_sum{0};
+  std::uint32_t service_time_count = 0;
   for (const fleet_target* item : targets) {
-    if (HasCurrentReport(now, item->address.address)) {
+    const auto found = states_.find(item->address.address);
+    if (found == states_.end() || !found->second.reported) {
+      continue;
+    }
+    const auto age = now - found->second.reported_at;
+    if (age < kReportLifetime) {
       sum += ReportedUtilization(*item);
       ++reported_count;
     }
+    if (age < kServiceTimeLifetime && found->second.load.service_time != 0ms) {
+      service_time_sum += found->second.load.service_time;
+      ++service_time_count;
+    }
+  }
+  service_means means;
+  means.utilization = reported_count == 0 ? 0 : sum / reported_count;
+  if (service_time_count != 0) {
+    means.service_time = std::max(1ms, service_time_sum / service_time_count);
   }
-  return reported_count == 0 ? 0 : sum / reported_count;
+  return means;
 }
 
 std::uint64_t target_loads::Score(time_point now,
                                   const fleet_target& target,
-                                  std::uint64_t mean) const {
+                                  const service_means& means) const {
+  const std::uint64_t mean = means.utilization;
   const machine_address machine = target.address.address;
   std::uint64_t score = mean;
   const auto found = states_.find(machine);
@@ -141,8 +159,22 @@
       target.failure_domain == own_failure_domain_
           ? 0
           : std::min(kMaxRemotePenaltyPermille, mean / kRemotePenaltyDivisor);
-  score += now < target.warm_up_until ? kWarmUpPenaltyPermille : 0;
-  return score;
+  target_outlook outlook;
+  outlook.slots = target.slots;
+  if (found != states_.end() && found->second.reported) {
+    outlook.pace_permille = found->second.load.pace_permille;
+    outlook.service_time = found->second.load.service_time;
+    outlook.age = std::chrono::duration_cast<milliseconds>(
+        now - found->second.reported_at);
+  }
+  // A service time that the target has shown contains what warming up costs.
+  if (now < target.warm_up_until && !IsLearned(outlook)) {
+    score += kWarmUpPenaltyPermille;
+  }
+  outlook.utilization_permille = score;
+  return means.service_time == 0ms
+             ? score
+             : CompletionTime(outlook, means.service_time);
 }
 
 const fleet_target* target_loads::Choose(
@@ -168,14 +200,14 @@
       usable_.begin(), usable_.end(), [&](const fleet_target* item) {
         return item->failure_domain == own_failure_domain_;
       });
-  const std::uint64_t mean = MeanUtilization(now, usable_);
+  const service_means means = Means(now, usable_);
   const fleet_target* best = nullptr;
   std::uint64_t best_score = 0;
   const auto consider = [&](const std::vector<const fleet_target*>& from,
                             std::size_t choices) {
     fleet_index::Rank(from, flow_hash, choices, ranked_);
     for (const ranked_target& item : ranked_) {
-      const std::uint64_t score = Score(now, *item.target, mean);
+      const std::uint64_t score = Score(now, *item.target, means);
       if (best == nullptr || score < best_score) {
         best = item.target;
         best_score = score;
@@ -186,8 +218,12 @@
   usable_.erase(first_remote, usable_.end());
   consider(usable_, kLocalChoices);
   const std::size_t local_count = std::min(usable_.size(), kLocalChoices);
-  const bool local_full =
-      best == nullptr || best_score >= kFullUtilizationPermille;
+  const std::uint64_t full_score =
+      means.service_time == 0ms
+          ? kFullUtilizationPermille
+          : CompletionTime({.utilization_permille = kFullUtilizationPermille},
+                           means.service_time);
+  const bool local_full = best == nullptr || best_score >= full_score;
   consider(avoided_,
            local_full ? std::max(kRemoteChoicesWhenFull, kChoices - local_count)
                       : kChoices - local_count);
--- a/Source/core/target_loads.h
+++ b/Source/core/target_loads.h
@@ -10,6 +10,7 @@
 
 #include "core/fleet_index.h"
 #include "core/mesh_message.h"
+#include "pace/completion_time.h"
 
 namespace corianderplank {
 
@@ -66,15 +67,24 @@
                              std::uint64_t flow_hash,
                              const std::vector<machine_address>& tried);
 
+  /// What is assumed of targets that have not reported.
+  struct service_means {
+    /// In thousandths of a target's slots; 0 if none has reported.
+    std::uint64_t utilization = 0;
+    /// Mean of the service times reported; 0 if the agents do not learn them.
+    std::chrono::milliseconds service_time{0};
+  };
+
   /// @param now current time.
   /// @param target target to rate.
-  /// @param mean utilization that is assumed if the target's is not known, in
-  ///     thousandths of its slots.
-  /// @return the target's cost for a new flow, lower is better: its utilization
-  ///     in thousandths of its slots, plus penalties.
+  /// @param means what is assumed if the target's report is not known.
+  /// @return the target's cost for a new flow, lower is better, with penalties:
+  ///     its expected time to complete a request, in millionths of the
+  ///     service's mean service time; where service times are not known, its
+  ///     utilization in thousandths of its slots.
   std::uint64_t Score(time_point now,
                       const fleet_target& target,
-                      std::uint64_t mean) const;
+                      const service_means& means) const;
 
   /// @param entries number of entries that place flows, including this one.
   void SetEntryCount(std::uint32_t entries) { entries_ = entries; }
@@ -97,11 +107,9 @@
   bool IsAvoided(time_point now, machine_address machine) const;
   /// @return whether there is a report that has not expired.
   bool HasCurrentReport(time_point now, machine_address machine) const;
-  /// @return mean utilization of the targets that have a current report, in
-  ///     thousandths of their slots; 0 if there are none.
-  std::uint64_t MeanUtilization(
-      time_point now,
-      const std::vector<const fleet_target*>& targets) const;
+  /// @return means of the targets that have a current report.
+  service_means Means(time_point now,
+                      const std::vector<const fleet_target*>& targets) const;
   /// @return utilization of a target that has a report, in thousandths of its
   ///     slots.
   std::uint64_t ReportedUtilization(const fleet_target& target) const;
--- a/Source/core/service_time_estimate.cc
+++ b/Source/pace/service_time_estimate.cc
@@ -1,4 +1,4 @@
-#include "core/service_time_estimate.h"
+#include "pace/service_time_estimate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -80,7 +80,7 @@
                      nullptr),
         agent(ClockWithSleep(),
               {ServiceIdOf(settings.service), settings.first_start, started_ms,
-               settings.longest_flow},
+               settings.longest_flow, settings.learns_pace},
               format,
               *this,
               result_counters),
@@ -129,6 +129,15 @@
     answer_latencies.Add(answer_latency);
   }
 
+  void OnPaceChanged(const pace_change& change) override {
+    LogEvent(log_level::info, "pace_changed",
+             {{"from", std::to_string(change.from)},
+              {"to", std::to_string(change.to)},
+              {"state", NameOf(change.state)},
+              {"slowness_permille", std::to_string(change.slowness_permille)},
+              {"state_age_ms", std::to_string(change.age.count())}});
+  }
+
   void Flush() {
     target_socket.Flush();
     entry_socket.Flush();
--- a/Source/packet/packet_settings.cc
+++ b/Source/packet/packet_settings.cc
@@ -14,6 +14,8 @@
 constexpr double kMaxSeconds = 86400;
 constexpr double kMaxMbps = 1000000;
 constexpr double kBytesPerMbit = 125000;
+constexpr const char* kPaceBySlots = "slots";
+constexpr const char* kLearnedPace = "learned";
 
 std::uint16_t ReadPort(toml_section& root, const char* key) {
   return static_cast<std::uint16_t>(root.Number(key, 1, kMaxPort));
@@ -36,6 +38,11 @@
   settings.service = root.Text("service");
   settings.target = root.Address("target");
   settings.outbound = root.Address("outbound");
+  const std::string pace = root.TextOr("pace", kPaceBySlots);
+  settings.learns_pace = pace == kLearnedPace;
+  if (!settings.learns_pace && pace != kPaceBySlots) {
+    root.Reject("pace", "slots or learned");
+  }
 }
 
 packet_options ExitWith(int exit_code) {
--- a/Source/packet/packet_settings.h
+++ b/Source/packet/packet_settings.h
@@ -38,6 +38,9 @@
   endpoint fleet_state_endpoint;
   /// Endpoint of the platform's store; entries only.
   endpoint platform;
+  /// Whether a target's answers decide how many requests it gets at a time,
+  /// rather than its slots only; agents only.
+  bool learns_pace = false;
   /// Name of the target's service; agents only.
   std::string service;
   /// Endpoint to which the agent delivers packets; agents only.
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -153,7 +153,7 @@
 check lint check_lint
 check platform_names check_platform_names
 check deploy_build check_deploy_build
-for name in core wire product packet platform; do
+for name in core pace wire product packet platform; do
   check "$name" run_without_known_red "$build" "$name"
   check_known_red_cases "$name" "$build"
 done
