--- a/Tests/packet/packet_settings_test.cc
+++ b/Tests/packet/packet_settings_test.cc
@@ -77,6 +77,21 @@
 
 // Guards against processes that do not start on a deployment whose bounds are
 // fractions, or whole numbers written as such.
+TEST_CASE("an agent's pace is by slots unless its answers decide") {
+  const std::string agent = Replace(kEntrySettings, "belief", "target") +
+                            "outbound = \"10.0.0.1:8162\"\nservice = \"s\"\n";
+  const std::string text = Replace(agent, "platform = \"10.0.9.1:8169\"\n", "");
+  CHECK_FALSE(ParsePacketSettings("a.toml", text, true).settings.learns_pace);
+  const auto learned =
+      ParsePacketSettings("a.toml", text + "pace = \"learned\"\n", true);
+  CHECK(learned.errors.empty());
+  CHECK(learned.settings.learns_pace);
+  const auto wrong =
+      ParsePacketSettings("a.toml", text + "pace = \"fast\"\n", true);
+  REQUIRE(wrong.errors.size() == 1);
+  CHECK(wrong.errors.front().key == "pace");
+}
+
 TEST_CASE("times in seconds may be fractions") {
   const auto fractions =
       ParsePacketSettings("e.toml",
