Let a short service time count only with a current load

Cause: all entries prefer the same fast targets; an entry that did not know their load any more expected them to be idle.

--- a/Source/pace/completion_time.cc
+++ b/Source/pace/completion_time.cc
@@ -14,15 +14,20 @@
 constexpr std::uint64_t kLeastDifference = 667;
 constexpr std::uint64_t kMostDifference = 1500;
 
+/// Age at which a short service time no longer counts. Every entry prefers a
+/// fast target, so it is busier than the others; an entry that does not know
+/// its present load must not expect it to be faster than the mean.
+constexpr std::chrono::milliseconds kFastLifetime{500};
+
 /// Weighs a reported value against what holds without a report, by age.
 std::uint64_t Fade(std::uint64_t reported,
                    std::uint64_t otherwise,
-                   std::chrono::milliseconds age) {
-  const auto lifetime =
-      static_cast<std::uint64_t>(kServiceTimeLifetime.count());
-  const auto passed = static_cast<std::uint64_t>(
-      std::clamp(age, 0ms, kServiceTimeLifetime).count());
-  return (reported * (lifetime - passed) + otherwise * passed) / lifetime;
+                   std::chrono::milliseconds age,
+                   std::chrono::milliseconds lifetime) {
+  const auto all = static_cast<std::uint64_t>(lifetime.count());
+  const auto passed =
+      static_cast<std::uint64_t>(std::clamp(age, 0ms, lifetime).count());
+  return (reported * (all - passed) + otherwise * passed) / all;
 }
 
 }  // namespace
@@ -36,16 +41,19 @@
   const std::uint64_t slots =
       std::uint64_t{std::max(1U, target.slots)} * kPermille;
   const std::uint64_t pace =
-      target.pace_permille == 0 ? slots
-                                : Fade(target.pace_permille, slots, target.age);
+      target.pace_permille == 0
+          ? slots
+          : Fade(target.pace_permille, slots, target.age, kServiceTimeLifetime);
   std::uint64_t relative = kPermille;
   if (target.service_time != 0ms) {
     relative =
         static_cast<std::uint64_t>(target.service_time.count()) * kPermille /
         static_cast<std::uint64_t>(std::max(1ms, mean_service_time).count());
-    relative = relative > kLeastDifference && relative < kMostDifference
-                   ? kPermille
-                   : Fade(relative, kPermille, target.age);
+    relative =
+        relative > kLeastDifference && relative < kMostDifference
+            ? kPermille
+            : Fade(relative, kPermille, target.age,
+                   relative < kPermille ? kFastLifetime : kServiceTimeLifetime);
   }
   const std::uint64_t ahead = target.utilization_permille * slots / pace;
   const std::uint64_t wait = ahead * ahead * kPermille / (kPermille + ahead);
--- a/Tests/pace/placement_test.cc
+++ b/Tests/pace/placement_test.cc
@@ -121,5 +121,17 @@
   CHECK_FALSE(IsLearned(target));
 }
 
+// Twenty entries prefer the same fast targets: one that does not know their
+// present load sends them no more than their share.
+TEST_CASE("a short service time counts only together with a current load") {
+  target_outlook target;
+  target.slots = kSlots;
+  target.pace_permille = 4000;
+  target.service_time = 20ms;
+  CHECK(CompletionTime(target, 50ms) == 400000);
+  target.age = 500ms;
+  CHECK(CompletionTime(target, 50ms) == 1000000);
+}
+
 }  // namespace
 }  // namespace corianderplank
