--- a/Tests/pace/paced_agent_test.cc
+++ b/Tests/pace/paced_agent_test.cc
@@ -12,61 +12,54 @@
 
 const time_point kStart = time_point() + 1h;
 const service_id kService = ServiceIdOf("service");
-const endpoint kEntry{1, 7720};
+const endpoint kRoute{200, 443};
+
+enum class content { opening, data, reset };
+
+flow_packet Packet(content holds) {
+  flow_packet packet;
+  packet.synchronize = holds == content::opening;
+  packet.reset = holds == content::reset;
+  packet.acknowledge = holds == content::data;
+  packet.payload_bytes = holds == content::data ? 10 : 0;
+  return packet;
+}
 
 /// An agent, an entry that sends to it and its target.
 struct paced_agent {
   explicit paced_agent(bool learns_pace)
-      : agent(kStart, SettingsOf(learns_pace), format, effects, counted) {}
-
-  static packet_agent_settings SettingsOf(bool learns_pace) {
-    packet_agent_settings settings;
-    settings.service = kService;
-    settings.first_start = true;
-    settings.started_ms = 1000;
-    settings.learns_pace = learns_pace;
-    return settings;
-  }
-
-  static flow_address FlowOf(std::uint32_t number) {
-    return {{number, 40001}, {200, 443}};
-  }
-
-  void Deliver(flow_packet packet, const flow_address& flow) {
-    packet.source = flow.client;
-    packet.destination = flow.service;
+      : agent(kStart,
+              {.service = kService,
+               .first_start = true,
+               .started_ms = 1000,
+               .learns_pace = learns_pace},
+              format,
+              effects,
+              counted) {}
+
+  void Deliver(flow_packet packet, std::uint32_t client) {
+    packet.source = {client, 40001};
+    packet.destination = kRoute;
     const std::string bytes = plain_format::Encode(packet);
     mesh_message message;
-    message.kind = mesh_kind::deliver;
     message.service = kService;
     message.slots = 4;
     message.target_start_ms = 1000;
     message.payload = bytes;
-    agent.OnEntryMessage(now, kEntry, message);
+    agent.OnEntryMessage(now, {1, 7720}, message);
   }
 
-  void Answer(flow_packet packet, const flow_address& flow) {
-    packet.source = flow.service;
-    packet.destination = flow.client;
+  void Answer(flow_packet packet, std::uint32_t client) {
+    packet.source = kRoute;
+    packet.destination = {client, 40001};
     agent.OnTargetDatagram(now, plain_format::Encode(packet));
   }
 
   /// Opens a flow and forwards its first request.
-  void Request(const flow_address& flow) {
-    flow_packet opening;
-    opening.synchronize = true;
-    Deliver(opening, flow);
-    Answer(opening, flow);
-    flow_packet data;
-    data.acknowledge = true;
-    data.payload_bytes = 10;
-    Deliver(data, flow);
-  }
-
-  void AnswerRequest(const flow_address& flow) {
-    flow_packet answer;
-    answer.payload_bytes = 10;
-    Answer(answer, flow);
+  void Request(std::uint32_t client) {
+    Deliver(Packet(content::opening), client);
+    Answer(Packet(content::opening), client);
+    Deliver(Packet(content::data), client);
   }
 
   time_point now = kStart;
@@ -80,12 +73,12 @@
 TEST_CASE("an agent reports the pace and the service time of its answers") {
   for (const bool learns_pace : {true, false}) {
     paced_agent test(learns_pace);
-    test.Request(paced_agent::FlowOf(1));
-    test.Request(paced_agent::FlowOf(2));
+    test.Request(1);
+    test.Request(2);
     test.now += 20ms;
-    test.AnswerRequest(paced_agent::FlowOf(1));
-    test.AnswerRequest(paced_agent::FlowOf(2));
-    test.Request(paced_agent::FlowOf(3));
+    test.Answer(Packet(content::data), 1);
+    test.Answer(Packet(content::data), 2);
+    test.Request(3);
     const agent_load load = test.effects.entry_messages.back().load;
     CHECK(load.pace_permille == (learns_pace ? 4000 : 0));
     CHECK(load.service_time == (learns_pace ? 20ms : 0ms));
@@ -96,10 +89,8 @@
 // A target in a crash loop resets the flow whose request it had.
 TEST_CASE("a request that the target cuts lowers its pace") {
   paced_agent test(true);
-  test.Request(paced_agent::FlowOf(1));
-  flow_packet reset;
-  reset.reset = true;
-  test.Answer(reset, paced_agent::FlowOf(1));
+  test.Request(1);
+  test.Answer(Packet(content::reset), 1);
   CHECK(test.counted.Get(result_code::pace_lowered) == 1);
 }
 
