Weigh waiting more steeply near a full target

Change: a request costs 1 + 4 u^3 service times instead of 1 + u^2 / (1 + u); a second load in the placement test.

--- a/Source/pace/completion_time.cc
+++ b/Source/pace/completion_time.cc
@@ -30,6 +30,17 @@
   return (reported * (all - passed) + otherwise * passed) / all;
 }
 
+/// What a new request adds to the waiting of all, itself included, in
+/// millionths of the service time: 4 u^3 with u requests ahead for each that
+/// the target works on at a time, from u = 1 on along the tangent, since then
+/// each further request ahead adds as much.
+std::uint64_t Wait(std::uint64_t ahead_permille) {
+  if (ahead_permille > kPermille) {
+    return (12 * ahead_permille - 8 * kPermille) * kPermille;
+  }
+  return 4 * ahead_permille * ahead_permille * ahead_permille / kPermille;
+}
+
 }  // namespace
 
 bool IsLearned(const target_outlook& target) {
@@ -56,8 +67,7 @@
                    relative < kPermille ? kFastLifetime : kServiceTimeLifetime);
   }
   const std::uint64_t ahead = target.utilization_permille * slots / pace;
-  const std::uint64_t wait = ahead * ahead * kPermille / (kPermille + ahead);
-  return (kPermille * kPermille + wait) * relative / kPermille;
+  return (kPermille * kPermille + Wait(ahead)) * relative / kPermille;
 }
 
 }  // namespace corianderplank
--- a/Source/pace/completion_time.h
+++ b/Source/pace/completion_time.h
@@ -30,11 +30,10 @@
 /// @return whether its service time is known.
 bool IsLearned(const target_outlook& target);
 
-/// The time that a new request needs at a target: its service time, and the
-/// wait for those ahead of it. With u requests ahead for each that the target
-/// works on at a time, the wait is u^2 / (1 + u) service times: little while
-/// there are free slots, u - 1 where many wait. What is not known is the
-/// service's mean and the slots, and a report approaches these with its age.
+/// The time that a new request costs at a target: its service time, and the
+/// waiting that it adds, which is little while there are free slots and grows
+/// steeply where there is none. What is not known is the service's mean and the
+/// slots, and a report approaches these with its age.
 /// Targets that are about as fast as the mean differ by their utilization only.
 /// @param target a target of the service.
 /// @param mean_service_time mean service time of the service, above 0.
--- a/Tests/pace/placement_test.cc
+++ b/Tests/pace/placement_test.cc
@@ -29,12 +29,18 @@
   return item;
 }
 
-/// Ten entries place flows at six tenths of the capacity; the first three of
-/// twenty targets need four times as long. An entry knows a target's load from
-/// its own placements there, five a second.
+/// Targets of one service, some of them slow, and the flows that arrive.
+struct uneven_load {
+  std::uint32_t slow_targets = 0;
+  milliseconds slow_work{0};
+  std::chrono::microseconds interval{0};
+};
+
+/// Ten entries place flows; an entry knows a target's load from its own
+/// placements there, a few a second.
 /// @param learned whether agents report service times.
 /// @return mean time to completion of all flows.
-double MeanCompletionMs(bool learned) {
+double MeanCompletionMs(const uneven_load& load, bool learned) {
   std::vector<target_loads> entries(kEntries, target_loads(0));
   for (target_loads& loads : entries) {
     loads.SetEntryCount(kEntries);
@@ -52,7 +58,7 @@
   double total_ms = 0;
   constexpr int kFlows = 20000;
   for (int flow = 0; flow < kFlows; ++flow) {
-    const time_point now = kStart + flow * 1ms;
+    const time_point now = kStart + flow * load.interval;
     target_loads& loads = entries[MixHash(3, flow) % kEntries];
     const fleet_target* target =
         loads.Choose(now, pointers, MixHash(7, flow), {});
@@ -60,7 +66,8 @@
     const machine_address machine = target->address.address;
     auto& busy = slots[machine];
     busy.resize(kSlots);
-    const milliseconds work = machine <= 3 ? 4 * kWork : kWork;
+    const milliseconds work =
+        machine <= load.slow_targets ? load.slow_work : kWork;
     time_point& slot = *std::min_element(busy.begin(), busy.end());
     slot = std::max(now, slot) + work;
     total_ms += std::chrono::duration<double, std::milli>(slot - now).count();
@@ -78,16 +85,27 @@
 }
 
 // Three of twenty targets turn slow for a while, as when a neighbour takes
-// their cores. Without service times they get flows until as many requests wait
-// there as elsewhere.
-TEST_CASE("uneven targets: flows go where they are completed first") {
-  const double by_load = MeanCompletionMs(false);
-  const double by_completion = MeanCompletionMs(true);
+// their cores, at seven tenths of the capacity. Without service times they get
+// flows until as many requests wait there as elsewhere.
+TEST_CASE("slow targets: flows go where they are completed first") {
+  const uneven_load load{3, 200ms, 1ms};
+  const double by_load = MeanCompletionMs(load, false);
+  const double by_completion = MeanCompletionMs(load, true);
   MESSAGE(by_load, " ms by load, ", by_completion, " ms by completion");
   CHECK(by_completion < 0.9 * by_load);
   CHECK(by_completion >= 50);
 }
 
+// Half of the targets run on older machines, at nine tenths of the capacity:
+// all entries prefer the other half, which must not be overloaded by that.
+TEST_CASE("uneven targets under load: the fast ones are not overloaded") {
+  const uneven_load load{10, 90ms, 866us};
+  const double by_load = MeanCompletionMs(load, false);
+  const double by_completion = MeanCompletionMs(load, true);
+  MESSAGE(by_load, " ms by load, ", by_completion, " ms by completion");
+  CHECK(by_completion < by_load);
+}
+
 // A release under load: a target that warms up, but answers as fast as its
 // peers, gets its share; one that has shown nothing is approached with care.
 TEST_CASE("a penalty for warming up ends with the first answers") {
