Ignore starts of a target before the one known

Cause: entries learn of a restart one by one; while some still named the earlier start, each of their messages began the pace anew.

--- a/Source/pace/target_pace.cc
+++ b/Source/pace/target_pace.cc
@@ -84,7 +84,7 @@
 void target_pace::OnStarted(time_point now,
                             std::int64_t start_ms,
                             milliseconds ran_for) {
-  if (has_start_ && (start_ms == 0 || start_ms == start_ms_)) {
+  if (has_start_ && start_ms <= start_ms_) {
     return;
   }
   const bool is_restart = has_start_ && start_ms_ != 0;
--- a/Source/pace/target_pace.h
+++ b/Source/pace/target_pace.h
@@ -52,7 +52,8 @@
   void SetSlots(time_point now, std::uint32_t slots);
 
   /// Records which start of the target is meant. A target that has just started
-  /// begins with half of its slots, also if the agent knew an earlier start.
+  /// begins with half of its slots, also if the agent knew an earlier start. A
+  /// start before the one known is ignored: entries learn of it one by one.
   /// @param now current time.
   /// @param start_ms Unix time of the start in milliseconds; 0 if not known.
   /// @param ran_for how long the target has been running at least.
--- a/Tests/pace/target_pace_test.cc
+++ b/Tests/pace/target_pace_test.cc
@@ -79,6 +79,11 @@
   pace.OnStarted(now, 9000, 10ms);
   CHECK(pace.Limit() == 2);
   CHECK(pace.State() == pace_state::starting);
+  // Some entries still have the earlier start in their list.
+  simulated_target(pace, 15ms).Answer(2);
+  pace.OnStarted(now, 1000, 60s);
+  pace.OnStarted(now, 9000, 10ms);
+  CHECK(pace.Limit() == kSlots);
 }
 
 // A target in a crash loop fails a request each time it comes back.
