Avoid slow targets without overloading the others

Change: no target gets more for being faster than its peers; where the queue of a slow target is not known, it is expected to complete as late as the others.

--- a/Source/core/target_loads.cc
+++ b/Source/core/target_loads.cc
@@ -172,6 +172,11 @@
     score += kWarmUpPenaltyPermille;
   }
   outlook.utilization_permille = score;
+  outlook.load_weight_permille =
+      HasCurrentReport(now, machine)
+          ? static_cast<std::uint32_t>((kReportLifetime - outlook.age) * 1000 /
+                                       kReportLifetime)
+          : 0;
   return means.service_time == 0ms
              ? score
              : CompletionTime(outlook, means.service_time);
--- a/Source/pace/completion_time.cc
+++ b/Source/pace/completion_time.cc
@@ -8,25 +8,19 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t kPermille = 1000;
-/// Relative service times between these count as the mean. The chance of which
-/// requests a target got makes this difference; following it would move flows
-/// to and fro between equal targets, and a caller does not notice it.
-constexpr std::uint64_t kLeastDifference = 667;
-constexpr std::uint64_t kMostDifference = 1500;
-
-/// Age at which a short service time no longer counts. Every entry prefers a
-/// fast target, so it is busier than the others; an entry that does not know
-/// its present load must not expect it to be faster than the mean.
-constexpr std::chrono::milliseconds kFastLifetime{500};
+/// Shorter relative service times count as the mean. Up to this the chance of
+/// which requests a target got makes the difference, and following it would
+/// move flows to and fro between equal targets. A target that is faster than
+/// its peers gets no more for it: one that fails everything answers fastest.
+constexpr std::uint64_t kLeastSlowness = 1500;
 
 /// Weighs a reported value against what holds without a report, by age.
 std::uint64_t Fade(std::uint64_t reported,
                    std::uint64_t otherwise,
-                   std::chrono::milliseconds age,
-                   std::chrono::milliseconds lifetime) {
-  const auto all = static_cast<std::uint64_t>(lifetime.count());
-  const auto passed =
-      static_cast<std::uint64_t>(std::clamp(age, 0ms, lifetime).count());
+                   std::chrono::milliseconds age) {
+  const auto all = static_cast<std::uint64_t>(kServiceTimeLifetime.count());
+  const auto passed = static_cast<std::uint64_t>(
+      std::clamp(age, 0ms, kServiceTimeLifetime).count());
   return (reported * (all - passed) + otherwise * passed) / all;
 }
 
@@ -52,22 +46,28 @@
   const std::uint64_t slots =
       std::uint64_t{std::max(1U, target.slots)} * kPermille;
   const std::uint64_t pace =
-      target.pace_permille == 0
-          ? slots
-          : Fade(target.pace_permille, slots, target.age, kServiceTimeLifetime);
+      target.pace_permille == 0 ? slots
+                                : Fade(target.pace_permille, slots, target.age);
   std::uint64_t relative = kPermille;
   if (target.service_time != 0ms) {
     relative =
         static_cast<std::uint64_t>(target.service_time.count()) * kPermille /
         static_cast<std::uint64_t>(std::max(1ms, mean_service_time).count());
-    relative =
-        relative > kLeastDifference && relative < kMostDifference
-            ? kPermille
-            : Fade(relative, kPermille, target.age,
-                   relative < kPermille ? kFastLifetime : kServiceTimeLifetime);
+    relative = relative < kLeastSlowness
+                   ? kPermille
+                   : Fade(relative, kPermille, target.age);
   }
   const std::uint64_t ahead = target.utilization_permille * slots / pace;
-  return (kPermille * kPermille + Wait(ahead)) * relative / kPermille;
+  const std::uint64_t with_own_queue =
+      (kPermille * kPermille + Wait(ahead)) * relative / kPermille;
+  // All entries avoid a slow target until its requests are completed as late as
+  // elsewhere, so that is what to expect where its own queue is not known.
+  const std::uint64_t as_elsewhere =
+      std::max(kPermille * relative, kPermille * kPermille + Wait(ahead));
+  const std::uint64_t known =
+      std::min<std::uint64_t>(kPermille, target.load_weight_permille);
+  return (with_own_queue * known + as_elsewhere * (kPermille - known)) /
+         kPermille;
 }
 
 }  // namespace corianderplank
--- a/Source/pace/completion_time.h
+++ b/Source/pace/completion_time.h
@@ -16,6 +16,9 @@
 struct target_outlook {
   /// Requests ahead of a new one, with penalties, in thousandths of the slots.
   std::uint64_t utilization_permille = 0;
+  /// How much of that the target has reported, in thousandths; the rest is the
+  /// mean of its peers.
+  std::uint32_t load_weight_permille = 1000;
   /// Slots of the target; 0 counts as 1.
   std::uint32_t slots = 1;
   /// Requests that it works on at a time, in thousandths; 0 if not reported.
@@ -34,7 +37,8 @@
 /// waiting that it adds, which is little while there are free slots and grows
 /// steeply where there is none. What is not known is the service's mean and the
 /// slots, and a report approaches these with its age.
-/// Targets that are about as fast as the mean differ by their utilization only.
+/// Targets that are about as fast as the mean, or faster, differ by their
+/// utilization only.
 /// @param target a target of the service.
 /// @param mean_service_time mean service time of the service, above 0.
 /// @return the time in millionths of the mean service time.
