--- a/Source/pace/completion_time.cc
+++ b/Source/pace/completion_time.cc
@@ -13,6 +13,10 @@
 /// move flows to and fro between equal targets. A target that is faster than
 /// its peers gets no more for it: one that fails everything answers fastest.
 constexpr std::uint64_t kLeastSlowness = 1500;
+/// The same for a difference that no caller notices: it is the way to another
+/// failure domain and back. Where requests take a few milliseconds, packets
+/// that were lost make more than that of the mean.
+constexpr std::chrono::milliseconds kLeastDelay{10};
 
 /// Weighs a reported value against what holds without a report, by age.
 std::uint64_t Fade(std::uint64_t reported,
@@ -49,7 +53,7 @@
       target.pace_permille == 0 ? slots
                                 : Fade(target.pace_permille, slots, target.age);
   std::uint64_t relative = kPermille;
-  if (target.service_time != 0ms) {
+  if (target.service_time >= mean_service_time + kLeastDelay) {
     relative =
         static_cast<std::uint64_t>(target.service_time.count()) * kPermille /
         static_cast<std::uint64_t>(std::max(1ms, mean_service_time).count());
--- a/Tests/pace/placement_test.cc
+++ b/Tests/pace/placement_test.cc
@@ -153,6 +153,9 @@
   target.pace_permille = 4000;
   target.service_time = 2ms;
   CHECK(CompletionTime(target, 50ms) == 1000000);
+  // Neither do its peers get fewer, where all take a few milliseconds.
+  target.service_time = 8ms;
+  CHECK(CompletionTime(target, 4ms) == 1000000);
 }
 
 }  // namespace
