--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -58,7 +58,11 @@
       counters_(counters),
       started_at_(now),
       evacuation_(settings.failure_domain),
-      cold_budget_(settings.first_start ? now : now + kFlowsUnknownFor) {}
+      cold_budget_(settings.first_start ? now : now + kFlowsUnknownFor) {
+  if (settings_.learns_pace) {
+    scheduler_.LearnPace();
+  }
+}
 
 bool packet_agent::KnowsAllFlows(time_point now,
                                  std::int64_t target_start_ms) const {
@@ -87,6 +91,7 @@
   }
   if (message.slots != 0 && message.service == settings_.service) {
     scheduler_.SetSlots(message.slots);
+    OnTargetStart(now, message);
   }
   if (evacuation_.OnRow(now, message.evacuation)) {
     counters_.Add(message.evacuation.evacuated ? result_code::evacuation_began
@@ -103,6 +108,36 @@
   HandleEntryMessage(now, entry, message);
 }
 
+agent_load packet_agent::Load(time_point now) {
+  constexpr std::uint32_t kPermille = 1000;
+  return {open_flows_, load_.Permille(now),
+          scheduler_.Pace().Limit() * kPermille,
+          std::chrono::round<milliseconds>(scheduler_.Pace().ServiceTime())};
+}
+
+void packet_agent::OnTargetStart(time_point now, const mesh_message& message) {
+  const auto agent_ran_for =
+      std::chrono::duration_cast<milliseconds>(now - started_at_);
+  const milliseconds ran_for =
+      message.target_start_ms == 0 || settings_.started_ms == 0
+          ? message.known_for
+          : agent_ran_for +
+                milliseconds(settings_.started_ms - message.target_start_ms);
+  scheduler_.OnTargetStarted(now, message.target_start_ms,
+                             std::max(ran_for, message.known_for));
+  ReportPaceChange();
+}
+
+void packet_agent::ReportPaceChange() {
+  const std::optional<pace_change> change = scheduler_.TakePaceChange();
+  if (!change) {
+    return;
+  }
+  counters_.Add(change->to < change->from ? result_code::pace_lowered
+                                          : result_code::pace_raised);
+  effects_.OnPaceChanged(*change);
+}
+
 void packet_agent::HandleEntryMessage(time_point now,
                                       const endpoint& entry,
                                       const mesh_message& message) {
@@ -181,7 +216,7 @@
   mesh_message reply;
   reply.kind = mesh_kind::flow_query_results;
   reply.service = settings_.service;
-  reply.load = {open_flows_, load_.Permille(now)};
+  reply.load = Load(now);
   reply.queries = message.queries;
   for (flow_query& item : reply.queries) {
     item.result =
@@ -198,7 +233,7 @@
   mesh_message reply;
   reply.kind = mesh_kind::flows;
   reply.service = settings_.service;
-  reply.load = {open_flows_, load_.Permille(now)};
+  reply.load = Load(now);
   reply.round = message.round;
   const bool is_ours = message.service == settings_.service;
   const bool fits = flows_.size() <= kMaxFlowListEntries;
@@ -394,7 +429,7 @@
   message.flow = flow;
   message.service = settings_.service;
   message.pause = pause;
-  message.load = {open_flows_, load_.Permille(now)};
+  message.load = Load(now);
   effects_.SendToEntry(entry, message);
 }
 
@@ -413,7 +448,7 @@
   message.service = settings_.service;
   message.pause = pause;
   message.suspected = true;
-  message.load = {open_flows_, load_.Permille(now)};
+  message.load = Load(now);
   effects_.SendToEntry(entry, message);
   return true;
 }
@@ -515,6 +550,7 @@
       effects_.OnAnswered(*service_time);
       record.answer_pending = settings_.watches_answers;
       record.service_time = *service_time;
+      ReportPaceChange();
     }
   } else {
     scheduler_.Cancel(flow);
@@ -609,6 +645,8 @@
   const std::string restored = format_.RestoreReturned(packet.bytes);
   if (packet.synchronize) {
     counters_.Add(result_code::returned_opening);
+    scheduler_.OnTargetFailed(now);
+    ReportPaceChange();
     if (found->second.phase == flow_phase::unconfirmed) {
       Remove(now, flow);
     }
@@ -666,6 +704,8 @@
                record.queued_packets.empty() && !target_had_finished) {
       counters_.Add(result_code::request_cut_by_target);
       breaker_.OnFailed(now);
+      scheduler_.OnTargetFailed(now);
+      ReportPaceChange();
     }
     const std::uint32_t data_end = packet.sequence + packet.payload_bytes;
     if (record.request_active) {
@@ -705,7 +745,7 @@
   message.service = settings_.service;
   message.wrong_service = wrong_service;
   message.sequence = sequence;
-  message.load = {open_flows_, load_.Permille(now)};
+  message.load = Load(now);
   message.payload = packet;
   if (settings_.watches_answers && kind == mesh_kind::opened) {
     message.profiles = watch_.TakeDue(now, entry);
@@ -802,6 +842,8 @@
                                   time_point checked_at,
                                   end_proof proof) {
   target_was_absent_ = true;
+  scheduler_.OnTargetFailed(now);
+  ReportPaceChange();
   unanswered_since_ = time_point{};
   std::vector<flow_address> lost_flows;
   for (const auto& [flow, record] : flows_) {
--- a/Source/packet/packet_agent_daemon.cc
+++ b/Source/packet/packet_agent_daemon.cc
@@ -85,6 +85,7 @@
                .first_start = settings.first_start,
                .started_ms = started_ms,
                .longest_flow = settings.longest_flow,
+               .learns_pace = settings.learns_pace,
                .failure_domain = HashName(settings.failure_domain),
                .watches_answers = settings.watches_answers},
               format,
@@ -151,6 +152,15 @@
               {"pause_ms", std::to_string(change.pause.count())}});
   }
 
+  void OnPaceChanged(const pace_change& change) override {
+    LogEvent(log_level::info, "pace_changed",
+             {{"from", std::to_string(change.from)},
+              {"to", std::to_string(change.to)},
+              {"state", NameOf(change.state)},
+              {"slowness_permille", std::to_string(change.slowness_permille)},
+              {"state_age_ms", std::to_string(change.age.count())}});
+  }
+
   void Flush() {
     target_socket.Flush();
     entry_socket.Flush();
--- a/Source/packet/packet_settings.cc
+++ b/Source/packet/packet_settings.cc
@@ -18,6 +18,8 @@
 constexpr double kBytesPerMbit = 125000;
 /// Agreement that targets are judged by their health.
 constexpr std::string_view kHealthAgreement = "health";
+constexpr const char* kPaceBySlots = "slots";
+constexpr const char* kLearnedPace = "learned";
 
 std::uint16_t ReadPort(toml_section& root, const char* key) {
   return static_cast<std::uint16_t>(root.Number(key, 1, kMaxPort));
@@ -43,6 +45,11 @@
   const std::vector<std::string> agreements = root.Texts("agreements");
   settings.watches_answers = std::find(agreements.begin(), agreements.end(),
                                        kHealthAgreement) != agreements.end();
+  const std::string pace = root.TextOr("pace", kPaceBySlots);
+  settings.learns_pace = pace == kLearnedPace;
+  if (!settings.learns_pace && pace != kPaceBySlots) {
+    root.Reject("pace", "slots or learned");
+  }
 }
 
 packet_options ExitWith(int exit_code) {
--- a/Source/packet/packet_settings.h
+++ b/Source/packet/packet_settings.h
@@ -41,6 +41,9 @@
   /// Whether the target's answers are compared with those of its peers; agents
   /// only.
   bool watches_answers = false;
+  /// Whether a target's answers decide how many requests it gets at a time,
+  /// rather than its slots only; agents only.
+  bool learns_pace = false;
   /// Name of the target's service; agents only.
   std::string service;
   /// Endpoint to which the agent delivers packets; agents only.
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -5,7 +5,7 @@
 build=${CORIANDERPLANK_BUILD:-$top/build}
 cd "$top"
 # As in CMakeLists.txt.
-decision_libraries=(detection evacuation link liveness)
+decision_libraries=(detection evacuation link liveness pace)
 passed=0
 failed=0
 known=0
