--- a/Source/core/fleet_index.cc
+++ b/Source/core/fleet_index.cc
@@ -95,6 +95,22 @@
   return route.shares.back().service;
 }
 
+std::shared_ptr<const fleet_snapshot> WithEvacuation(
+    const fleet_snapshot& snapshot,
+    const domain_evacuation& row) {
+  auto changed = std::make_shared<fleet_snapshot>(snapshot);
+  std::erase_if(changed->evacuations, [&](const domain_evacuation& item) {
+    return item.failure_domain == row.failure_domain;
+  });
+  changed->evacuations.push_back(row);
+  for (fleet_target& item : changed->targets) {
+    if (item.failure_domain == row.failure_domain) {
+      item.evacuated = row.evacuated;
+    }
+  }
+  return changed;
+}
+
 bool fleet_index::HasOnlyEvacuated(time_point now, service_id service) const {
   bool has_evacuated = false;
   for (const fleet_target* item : TargetsOf(service)) {
--- a/Source/core/fleet_index.h
+++ b/Source/core/fleet_index.h
@@ -30,6 +30,13 @@
   std::uint32_t flows_permille = 0;
 };
 
+/// @param snapshot a fleet snapshot.
+/// @param row evacuation of a failure domain, or its end.
+/// @return a copy of the snapshot with the row in force.
+std::shared_ptr<const fleet_snapshot> WithEvacuation(
+    const fleet_snapshot& snapshot,
+    const domain_evacuation& row);
+
 /// Immutable index over one fleet snapshot.
 class fleet_index {
  public:
--- a/Source/core/mesh_message.h
+++ b/Source/core/mesh_message.h
@@ -149,8 +149,8 @@
   /// flows these are or that asks, in milliseconds, by the clock of its
   /// machine.
   std::int64_t sender_started_ms = 0;
-  /// Deliver of an opening packet, evacuation: state of the target's failure
-  /// domain; revision 0 if no evacuation is known.
+  /// Deliver of an opening packet, evacuation, refused: state of the target's
+  /// failure domain; revision 0 if no evacuation is known.
   domain_evacuation evacuation;
   /// Deliver: how much longer the target is cold, and how many new flows a
   /// second it bears until then, in thousandths; 0 for no limit.
--- a/Source/core/packet_agent.cc
+++ b/Source/core/packet_agent.cc
@@ -430,6 +430,7 @@
   message.service = settings_.service;
   message.pause = pause;
   message.load = Load(now);
+  message.evacuation = evacuation_.Row();
   effects_.SendToEntry(entry, message);
 }
 
--- a/Source/core/packet_entry.h
+++ b/Source/core/packet_entry.h
@@ -251,6 +251,10 @@
   void OnBusy(time_point now,
               machine_address machine,
               const mesh_message& message);
+  /// Takes over an evacuation that an agent knows and this entry's snapshot
+  /// does not. Otherwise a flow could be refused by one target of the domain
+  /// after the other and be given up.
+  void LearnEvacuation(machine_address machine, const domain_evacuation& row);
   void OnRefused(time_point now,
                  machine_address machine,
                  const mesh_message& message);
--- a/Source/core/packet_entry_opening.cc
+++ b/Source/core/packet_entry_opening.cc
@@ -221,9 +221,22 @@
   PlaceFlow(now, message.flow, found->second);
 }
 
+void packet_entry::LearnEvacuation(machine_address machine,
+                                   const domain_evacuation& row) {
+  const fleet_target* target = index_->FindTarget(machine);
+  if (target == nullptr || !row.evacuated ||
+      row.failure_domain != target->failure_domain ||
+      row.revision <= index_->EvacuationOf(row.failure_domain).revision) {
+    return;
+  }
+  index_ = std::make_shared<fleet_index>(
+      WithEvacuation(index_->Snapshot(), row), own_failure_domain_);
+}
+
 void packet_entry::OnRefused(time_point now,
                              machine_address machine,
                              const mesh_message& message) {
+  LearnEvacuation(machine, message.evacuation);
   const fleet_target* target = index_->FindTarget(machine);
   const bool is_needed = message.suspected && target != nullptr &&
                          !suspects_.OnPause(now, machine, message.pause,
--- a/Source/core/request_scheduler.cc
+++ b/Source/core/request_scheduler.cc
@@ -59,9 +59,8 @@
   std::erase_if(arriving_, [&](const forwarded_request& item) {
     const bool is_complete = now - item.at > kArrivalPause;
     if (is_complete) {
-      forwarded_.push_back(
-          {item.flow, item.at,
-           static_cast<std::uint32_t>(forwarded_.size() + 1)});
+      forwarded_.push_back({item.flow, item.at,
+                            static_cast<std::uint32_t>(forwarded_.size() + 1)});
     }
     return is_complete;
   });
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -161,6 +161,8 @@
 for name in imbalance class_share; do
   start "$name" "$build/Tests/${name}_benchmark"
 done
+# About a minute; the tests of core play a few seeds of it.
+SOAK_SEEDS=500 start soak "$build/Tests/core_test" --test-case="soak*"
 check format check_format
 check lint check_lint
 check platform_names check_platform_names
@@ -176,6 +178,7 @@
 check threads check_threads
 join imbalance
 join class_share
+join soak
 # These measure time or depend on it: nothing else runs beside them.
 for name in net core_cost packet_cost; do
   check "$name" ctest --test-dir "$build" --output-on-failure -R "^$name\$"
