--- a/Source/core/packet_agent.h
+++ b/Source/core/packet_agent.h
@@ -279,11 +279,13 @@
                              const flow_address& flow,
                              bool is_cold_limited);
   /// Refuses a new flow and asks the entry to avoid the target.
+  /// @param suspected whether that is since the target's answers are suspected.
   void RefuseFor(time_point now,
                  result_code code,
                  const endpoint& entry,
                  const flow_address& flow,
-                 std::chrono::milliseconds pause);
+                 std::chrono::milliseconds pause,
+                 bool suspected = false);
   /// Refuses a new flow if the target fails its requests.
   /// @return whether the flow was refused.
   bool RefuseWhileFailing(time_point now,
