Do not count refused flows as load of a target that works again

Cause: a flow that an agent refused for a pause counted as its target's load until the target accepted another one. Change: a refusal with a pause reports the load, as that for suspicion did. Result: the new case of packet_entry_test failed before.

--- a/Source/core/packet_entry_opening.cc
+++ b/Source/core/packet_entry_opening.cc
@@ -241,7 +241,7 @@
   const bool is_needed = message.suspected && target != nullptr &&
                          !suspects_.OnPause(now, machine, message.pause,
                                             index_->TargetsOf(target->service));
-  if (message.suspected) {
+  if (message.pause > 0ms) {
     // Else the refused flow counts as load until the target accepts another.
     loads_.OnLoadReport(now, machine, message.load);
   }
--- a/Tests/core/packet_entry_test.cc
+++ b/Tests/core/packet_entry_test.cc
@@ -451,5 +451,41 @@
   CHECK(counted.Get(result_code::flow_evicted) == 900);
 }
 
+// Load: a target refuses a flow while it fails, and then works again. The
+// refused flow counted as its load until it accepted another one, so that it
+// was left idle.
+TEST_CASE("a refused flow is no load of a target that works again") {
+  entry_fixture test(2);
+  const auto place = [&](time_point now, std::uint32_t client) {
+    flow_packet packet = entry_fixture::Packet();
+    packet.source.address = client;
+    packet.synchronize = true;
+    test.entry.OnClientDatagram(now, plain_format::Encode(packet));
+    return test.effects.deliveries.back().machine;
+  };
+  const auto reply = [&](time_point now, machine_address machine,
+                         std::uint32_t client, mesh_kind kind) {
+    mesh_message message;
+    message.kind = kind;
+    message.flow = {{client, kFlow.client.port}, kFlow.service};
+    message.pause = kind == mesh_kind::refused ? 100ms : 0ms;
+    test.entry.OnAgentMessage(now, machine, message);
+  };
+  std::uint32_t client = 1000;
+  while (place(kStart, ++client) != 1) {
+    reply(kStart, 2, client, mesh_kind::opened);
+  }
+  reply(kStart, 1, client, mesh_kind::refused);
+  reply(kStart, 2, client, mesh_kind::opened);
+  int on_first = 0;
+  for (int count = 0; count < 40; ++count) {
+    const machine_address machine = place(kStart + 200ms, ++client);
+    on_first += machine == 1 ? 1 : 0;
+    reply(kStart + 200ms, machine, client, mesh_kind::opened);
+  }
+  CHECK(on_first > 10);
+  CHECK(on_first < 30);
+}
+
 }  // namespace
 }  // namespace corianderplank
