--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -494,6 +494,7 @@
       int status = 0;
       if (waitpid(pid_, &status, WNOHANG) == pid_) {
         pid_ = 0;
+        kill_at_ = 0;
         if (!killed_) {
           ++own_ends_;
           if (WIFEXITED(status) && WEXITSTATUS(status) == 127) {
