--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -12,19 +12,19 @@
   {
     Deployment world(arguments.folder, record, KeyBytes::as_they_are, 3,
                      {"desk", "desk", "yard", "yard"});
-    world.store.Put("op/config", Configuration(3, {{"198.18.0.1", 8443, "safe", "desk"}},
+    world.store.Put("op/config", Configuration(3, {{"127.198.0.1", 8443, "safe", "desk"}},
                                                {"desk", "yard"}));
     world.Start();
     std::vector<FlowKey> flows;
     for (int i = 0; i < 40; ++i) {
-      flows.push_back(world.clients.Open("198.18.0.1", 8443, 20, true));
+      flows.push_back(world.clients.Open("127.198.0.1", 8443, 20, true));
       world.RunFor(0.02);
     }
     std::size_t turn = 0;
     const auto ask = [&] { world.clients.Again(flows[turn++ % flows.size()], 20); };
     world.RunFor(4, 0.02, ask);
     const std::size_t before = world.clients.Resets().size();
-    const std::vector<Route> moved = {{"198.18.0.1", 8443, "safe", "yard"}};
+    const std::vector<Route> moved = {{"127.198.0.1", 8443, "safe", "yard"}};
     world.store.Put("op/config", Configuration(8, moved, {"desk", "yard"}));
     record.Line("version 8 is acknowledged: the route leads to yard");
     world.RunFor(6, 0.02, ask);
