--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -14,12 +14,12 @@
                      {"desk", "desk", "desk", "yard"});
     const std::set<std::string> services = {"desk", "yard"};
     world.store.Put("op/config",
-                    Configuration(3, {{"198.18.0.1", 8443, "safe", "desk"},
-                                      {"198.18.0.2", 8443, "upload", "yard"}}, services));
+                    Configuration(3, {{"127.198.0.1", 8443, "safe", "desk"},
+                                      {"127.198.0.2", 8443, "upload", "yard"}}, services));
     world.Start();
     std::vector<FlowKey> flows;
     for (int i = 0; i < 60; ++i) {
-      flows.push_back(world.clients.Open("198.18.0.1", 8443, 20, true));
+      flows.push_back(world.clients.Open("127.198.0.1", 8443, 20, true));
       world.RunFor(0.02);
     }
     std::size_t turn = 0;
